The whole path, thin: daemons, placers, stand-ins, operators, main job

Cause: nothing existed.

Change: eleven product crates with their borders as traits, stand-ins, and `hunt_day`, which runs both deployments with a gray upstream, a leaving upstream and a planned stop. Thin on purpose: the control state lives in memory on one node, the placer only counts slots, membership has no proof of both directions. These are widened next, each on its own.

--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,172 @@
+//! One running daemon and its planned stop.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use crate::settings::DaemonSettings;
+use caller::{
+    entry::{CallEntry, EntryParts},
+    server::{CallerError, CallerServer},
+};
+use control::handle::ControlHandle;
+use fleet::{driver::FleetError, handle::FleetNode, settings::FleetSettings};
+use log::info;
+use model::numbers::{ConfigNumber, IncarnationNumber};
+use operator::server::{OperatorError, OperatorServer};
+use platform::server::{PlatformError, PlatformServer, ReadyState, ReadySwitch};
+use snafu::{ResultExt, Snafu};
+use upstream::{
+    announce::{AnnounceError, AnnounceServer},
+    pool::ConnectionPool,
+};
+
+/// Why a daemon could not be started.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// The fleet's side.
+    #[snafu(transparent)]
+    Fleet {
+        /// Why.
+        source: FleetError,
+    },
+    /// The callers' side.
+    #[snafu(transparent)]
+    Caller {
+        /// Why.
+        source: CallerError,
+    },
+    /// The upstreams' side.
+    #[snafu(transparent)]
+    Announce {
+        /// Why.
+        source: AnnounceError,
+    },
+    /// The operators' side.
+    #[snafu(transparent)]
+    Operator {
+        /// Why.
+        source: OperatorError,
+    },
+    /// The platform's side.
+    #[snafu(transparent)]
+    Platform {
+        /// Why.
+        source: PlatformError,
+    },
+    /// The clock is set before 1970.
+    #[snafu(display("the clock is set before 1970: {source}"))]
+    Clock {
+        /// What the clock said.
+        source: std::time::SystemTimeError,
+    },
+}
+
+/// A running daemon.
+pub struct DaemonNode {
+    fleet: FleetNode,
+    callers: CallerServer,
+    announce: AnnounceServer,
+    operators: OperatorServer,
+    platform: PlatformServer,
+    ready: ReadySwitch,
+}
+
+impl DaemonNode {
+    /// Starts a daemon. It reports ready once it has a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound or a thread cannot be started.
+    pub async fn spawn(settings: &DaemonSettings) -> Result<Self, DaemonError> {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).context(ClockSnafu)?;
+        let started_us = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+        let control = settings.data.as_ref().map(|_| ControlHandle::open_in_memory());
+        let fleet = FleetNode::spawn(fleet_settings(settings, started_us), control)?;
+        let port = Arc::new(fleet.clone());
+        let entry = Arc::new(CallEntry::new(EntryParts {
+            slots: port.clone(),
+            ledger: port.clone(),
+            pool: ConnectionPool::new(),
+            config: fleet.config_in_force(),
+            domain: settings.domain.clone(),
+            claimant: started_us << 20,
+        }));
+        let announce_secret = settings.announce_secret.clone();
+        let announce =
+            AnnounceServer::bind(settings.announce_listen, announce_secret, port.clone()).await?;
+        let operator_secret = settings.operator_secret.clone();
+        let operators =
+            OperatorServer::bind(settings.operator_listen, operator_secret, port).await?;
+        let ready = ReadySwitch::default();
+        let platform = PlatformServer::bind(settings.platform_listen, ready.clone()).await?;
+        let callers = CallerServer::bind(settings.caller_listen, entry).await?;
+        tokio::spawn(report_ready(fleet.clone(), ready.clone()));
+        Ok(Self { fleet, callers, announce, operators, platform, ready })
+    }
+
+    /// Returns where callers are served.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Returns where upstreams announce themselves.
+    pub fn announce_address(&self) -> SocketAddr {
+        self.announce.address()
+    }
+
+    /// Returns where operators are served.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
+    /// Returns where the balancer asks.
+    pub fn platform_address(&self) -> SocketAddr {
+        self.platform.address()
+    }
+
+    /// Returns where the fleet reaches the daemon.
+    pub fn fleet_address(&self) -> SocketAddr {
+        self.fleet.address()
+    }
+
+    /// Ends when a planned stop was asked for through the fleet.
+    pub async fn drain_asked(&self) {
+        // The sender lives as long as the control thread.
+        let _ = self.fleet.watch_drain().wait_for(|&asked| asked).await;
+    }
+
+    /// Stops as planned: has the balancer send calls elsewhere, hands over duties, finishes what is
+    /// in flight, ends.
+    pub async fn stop(self) {
+        info!("planned stop");
+        self.ready.set(ReadyState::Stopping);
+        self.fleet.begin_drain();
+        let lame_duck = self.fleet.config_in_force().load().settings().lame_duck_ms;
+        tokio::time::sleep(Duration::from_millis(u64::from(lame_duck))).await;
+        self.callers.drain().await;
+        info!("stopped");
+    }
+}
+
+fn fleet_settings(settings: &DaemonSettings, started_us: u64) -> FleetSettings {
+    FleetSettings {
+        member: settings.member.clone(),
+        domain: settings.domain.clone(),
+        incarnation: IncarnationNumber(started_us),
+        listen: settings.fleet_listen,
+        seeds: settings.seeds.clone(),
+        secret: settings.fleet_secret.clone(),
+    }
+}
+
+async fn report_ready(fleet: FleetNode, ready: ReadySwitch) {
+    let mut number = fleet.watch_number();
+    if number.wait_for(|&number| number > ConfigNumber::default()).await.is_ok()
+        && ready.get() == ReadyState::Starting
+    {
+        ready.set(ReadyState::Ready);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/server.rs
@@ -0,0 +1,108 @@
+//! The end of a connection that answers.
+
+use std::time::Duration;
+
+use crate::{
+    driver::{DriverEvent, DriverInbox},
+    link::transport,
+    wire::{AskFault, FleetPeer, GossipMessage},
+};
+use control::handle::ControlHandle;
+use futures::StreamExt;
+use model::{
+    ledger::{ClaimAnswer, KeyClaim, KeyClose},
+    names::MemberName,
+    numbers::{CallNumber, ConfigNumber, GroupNumber},
+    patch::{ConfigPatch, PatchId, PatchRecord, PatchResult},
+    ports::ControlFault,
+    slot::{SlotAsk, SlotGrant, SlotSettle},
+};
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Answers the peers of this node.
+#[derive(Clone)]
+pub(crate) struct PeerServer {
+    pub(crate) inbox: DriverInbox,
+    pub(crate) control: Option<ControlHandle>,
+}
+
+impl PeerServer {
+    fn control(&self, group: GroupNumber) -> Result<&ControlHandle, ControlFault> {
+        self.control.as_ref().ok_or(ControlFault::Unavailable { group })
+    }
+}
+
+impl FleetPeer for PeerServer {
+    async fn gossip(self, _: Context, message: GossipMessage) -> GossipMessage {
+        self.inbox.query(|driver| driver.exchange(message)).await
+    }
+
+    async fn ask(self, _: Context, entry: MemberName, ask: SlotAsk) -> Result<SlotGrant, AskFault> {
+        self.inbox.ask(entry, ask).await
+    }
+
+    async fn cancel(self, _: Context, entry: MemberName, call: CallNumber, attempt: u32) {
+        self.inbox.send(DriverEvent::Cancel { entry, call, attempt });
+    }
+
+    async fn settle(self, _: Context, settles: Vec<SlotSettle>) {
+        for settle in settles {
+            self.inbox.send(DriverEvent::Settle(settle));
+        }
+    }
+
+    async fn submit(self, _: Context, patch: ConfigPatch) -> Result<PatchResult, ControlFault> {
+        Ok(self.control(GroupNumber::CONFIG)?.submit(&patch))
+    }
+
+    async fn history(
+        self,
+        _: Context,
+        after: ConfigNumber,
+        limit: u32,
+    ) -> Result<Vec<PatchRecord>, ControlFault> {
+        Ok(self.control(GroupNumber::CONFIG)?.history(after, limit as usize))
+    }
+
+    async fn patch(self, _: Context, id: PatchId) -> Result<Option<PatchResult>, ControlFault> {
+        Ok(self.control(GroupNumber::CONFIG)?.patch(id))
+    }
+
+    async fn claim(self, _: Context, claim: KeyClaim) -> Result<ClaimAnswer, ControlFault> {
+        Ok(self.control(GroupNumber::FIRST_LEDGER)?.claim(claim))
+    }
+
+    async fn close(self, _: Context, close: KeyClose) -> Result<(), ControlFault> {
+        self.control(GroupNumber::FIRST_LEDGER)?.close(close);
+        Ok(())
+    }
+
+    async fn drain(self, _: Context) {
+        self.inbox.send(DriverEvent::Drain);
+    }
+}
+
+pub(crate) async fn serve(listener: TcpListener, server: PeerServer) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_link(stream, server.clone()));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "cannot accept a peer's connection");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(stream: TcpStream, server: PeerServer) {
+    // Without it a grant can wait 40 ms for the acknowledgement of the message before.
+    let _ = stream.set_nodelay(true);
+    let requests = BaseChannel::with_defaults(transport(stream)).execute(server.serve());
+    requests.for_each(|answer| async move { drop(tokio::spawn(answer)) }).await;
+}
--- /dev/null
+++ b/crates/operator/src/server.rs
@@ -0,0 +1,84 @@
+//! Binds the operators' interface and guards it by their secret.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use crate::pages::pages;
+use model::{ports::OperatorPort, secret::SharedSecret};
+use poem::{
+    Endpoint, EndpointExt, Request, Response, Result, Server,
+    http::{StatusCode, header},
+    listener::{Acceptor, Listener, TcpListener},
+};
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::task::JoinHandle;
+
+/// Why the interface could not be opened.
+#[derive(Debug, Snafu)]
+pub enum OperatorError {
+    /// The address could not be bound.
+    #[snafu(display("cannot listen for operators on {address}: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The bound address could not be read.
+    #[snafu(display("cannot tell which address was bound for operators"))]
+    Address,
+}
+
+/// The running interface. Dropping it ends it.
+#[derive(Debug)]
+pub struct OperatorServer {
+    address: SocketAddr,
+    task: JoinHandle<io::Result<()>>,
+}
+
+impl OperatorServer {
+    /// Binds the interface and starts to serve it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn bind<P: OperatorPort>(
+        address: SocketAddr,
+        secret: SharedSecret,
+        port: Arc<P>,
+    ) -> Result<Self, OperatorError> {
+        let acceptor =
+            TcpListener::bind(address).into_acceptor().await.context(BindSnafu { address })?;
+        let bound = acceptor.local_addr();
+        let address = bound.first().and_then(|a| a.as_socket_addr()).copied();
+        let address = address.context(AddressSnafu)?;
+        let endpoint = guarded(pages(port), secret);
+        let task = tokio::spawn(Server::new_with_acceptor(acceptor).run(endpoint));
+        Ok(Self { address, task })
+    }
+
+    /// Returns the address that was bound.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for OperatorServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn guarded(pages: impl Endpoint + 'static, secret: SharedSecret) -> impl Endpoint {
+    pages.around(move |pages, request: Request| {
+        let proof = request.headers().get(header::AUTHORIZATION).map(|value| value.as_bytes());
+        let proved = secret.is_proved_by(proof);
+        async move {
+            if proved {
+                return Ok(pages.get_response(request).await);
+            }
+            log::warn!(peer:% = request.remote_addr(); "operator refused: wrong or missing secret");
+            let text = "send the operators' secret as a bearer token\n";
+            Ok(Response::builder().status(StatusCode::UNAUTHORIZED).body(text))
+        }
+    })
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,3 @@
+//! Towards the platform: the balancer's health page and the metrics page.
+
+pub mod server;
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for what the fleet meets: upstreams that announce themselves, work and fail as told,
+//! and a caller that speaks plain HTTP/1.1.
+//!
+//! - [`upstream`]: an upstream with slots, a service time and faults;
+//! - [`call`]: one request and its whole answer.
+
+pub mod call;
+pub mod upstream;
--- /dev/null
+++ b/crates/standin/src/upstream.rs
@@ -0,0 +1,377 @@
+//! An upstream with slots, a service time and faults, which counts what it ran.
+
+use std::{
+    collections::HashMap,
+    convert::Infallible,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use crate::call::{CallError, call, request};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use model::{
+    announcement::{UpstreamAnnouncement, UpstreamState},
+    call::{KEY_HEADER, UPSTREAM_STATE_HEADER},
+    names::{DomainName, ServiceName, UpstreamName},
+    numbers::IncarnationNumber,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+
+/// How an upstream misbehaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FaultPlan {
+    /// The share of calls answered with status 500, from 0 to 1.
+    pub errors: f64,
+    /// By how much each call takes longer.
+    pub slowness: f64,
+    /// The share of calls that are never answered.
+    pub silence: f64,
+    /// The share of calls whose answer breaks off in the middle.
+    pub cuts: f64,
+}
+
+impl FaultPlan {
+    /// Does not misbehave.
+    pub const NONE: Self = Self { errors: 0.0, slowness: 1.0, silence: 0.0, cuts: 0.0 };
+}
+
+/// What an upstream is started with.
+#[derive(Clone, Debug)]
+pub struct StandinSettings {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its name.
+    pub upstream: UpstreamName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// How many calls it runs at once. It sheds what goes beyond.
+    pub slots: u32,
+    /// How many connections it accepts.
+    pub connections: u32,
+    /// How long a call takes.
+    pub takes: Duration,
+    /// Where it announces itself: any entry will do.
+    pub announce: Vec<SocketAddr>,
+    /// The announcement secret.
+    pub secret: String,
+    /// Seeds its faults.
+    pub seed: u64,
+}
+
+#[derive(Debug)]
+struct StandinState {
+    fault: FaultPlan,
+    busy: u32,
+    most_busy: u32,
+    shed: u64,
+    ran: u64,
+    failed: u64,
+    runs_by_key: HashMap<String, u32>,
+    state: UpstreamState,
+    sequence: u64,
+    last_call: Option<std::time::Instant>,
+    random: Pcg64Mcg,
+}
+
+/// A running upstream. Dropping it ends it without a word, as a crash does.
+#[derive(Debug)]
+pub struct UpstreamStandin {
+    address: SocketAddr,
+    settings: StandinSettings,
+    incarnation: IncarnationNumber,
+    state: Arc<Mutex<StandinState>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// How long an announcement holds.
+pub const LEASE: Duration = Duration::from_secs(2);
+
+impl UpstreamStandin {
+    /// Binds a port and begins to serve and to announce itself.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub async fn spawn(settings: StandinSettings) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let state = Arc::new(Mutex::new(StandinState {
+            fault: FaultPlan::NONE,
+            busy: 0,
+            most_busy: 0,
+            shed: 0,
+            ran: 0,
+            failed: 0,
+            runs_by_key: HashMap::new(),
+            state: UpstreamState::Serving,
+            sequence: 0,
+            last_call: None,
+            random: Pcg64Mcg::seed_from_u64(settings.seed),
+        }));
+        let micros = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
+        let incarnation = IncarnationNumber(micros);
+        let mut standin = Self { address, settings, incarnation, state, tasks: Vec::new() };
+        let served = serve(listener, standin.state.clone(), standin.settings.clone());
+        standin.tasks.push(tokio::spawn(served));
+        let renewed = renew(standin.announcer());
+        standin.tasks.push(tokio::spawn(renewed));
+        Ok(standin)
+    }
+
+    /// Returns where it takes calls.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns what it was started with.
+    pub fn settings(&self) -> &StandinSettings {
+        &self.settings
+    }
+
+    /// Changes how it misbehaves.
+    pub fn set_fault(&self, fault: FaultPlan) {
+        lock(&self.state).fault = fault;
+    }
+
+    /// Says that it is leaving, to the first entry that listens. It goes on answering.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no entry listens.
+    pub async fn leave(&self) -> Result<(), CallError> {
+        lock(&self.state).state = UpstreamState::Leaving;
+        self.announcer().announce().await
+    }
+
+    /// Returns how many calls it ran.
+    pub fn ran(&self) -> u64 {
+        lock(&self.state).ran
+    }
+
+    /// Returns how many calls it failed.
+    pub fn failed(&self) -> u64 {
+        lock(&self.state).failed
+    }
+
+    /// Returns how many calls it shed.
+    pub fn shed(&self) -> u64 {
+        lock(&self.state).shed
+    }
+
+    /// Returns the most calls that it ran at once.
+    pub fn most_busy(&self) -> u32 {
+        lock(&self.state).most_busy
+    }
+
+    /// Returns when the last call arrived.
+    pub fn last_call(&self) -> Option<std::time::Instant> {
+        lock(&self.state).last_call
+    }
+
+    /// Returns how often each key ran.
+    pub fn runs_by_key(&self) -> HashMap<String, u32> {
+        lock(&self.state).runs_by_key.clone()
+    }
+
+    fn announcer(&self) -> Announcer {
+        Announcer {
+            settings: self.settings.clone(),
+            address: self.address,
+            incarnation: self.incarnation,
+            state: self.state.clone(),
+        }
+    }
+}
+
+impl Drop for UpstreamStandin {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+struct Announcer {
+    settings: StandinSettings,
+    address: SocketAddr,
+    incarnation: IncarnationNumber,
+    state: Arc<Mutex<StandinState>>,
+}
+
+impl Announcer {
+    async fn announce(&self) -> Result<(), CallError> {
+        let announcement = self.next();
+        let body = serde_json::to_vec(&announcement).expect("an announcement has a JSON form");
+        let bearer = format!("Bearer {}", self.settings.secret);
+        let mut last = None;
+        for &entry in &self.settings.announce {
+            let post = request("POST", "/announce", &[("authorization", &bearer)], &body);
+            match call(entry, post).await {
+                Ok(_) => return Ok(()),
+                Err(error) => last = Some(error),
+            }
+        }
+        last.map_or(Ok(()), Err)
+    }
+
+    fn next(&self) -> UpstreamAnnouncement {
+        let mut state = lock(&self.state);
+        state.sequence += 1;
+        UpstreamAnnouncement {
+            service: self.settings.service.clone(),
+            upstream: self.settings.upstream.clone(),
+            address: self.address,
+            domain: self.settings.domain.clone(),
+            slots: self.settings.slots,
+            connections: self.settings.connections,
+            state: state.state,
+            incarnation: self.incarnation,
+            sequence: state.sequence,
+            lease_ms: u32::try_from(LEASE.as_millis()).unwrap_or(u32::MAX),
+            age_ms: 3_600_000,
+        }
+    }
+}
+
+async fn renew(announcer: Announcer) {
+    loop {
+        // A failed renewal is made up for by the next: the lease lasts for four of them.
+        let _ = announcer.announce().await;
+        tokio::time::sleep(LEASE / 4).await;
+    }
+}
+
+async fn serve(listener: TcpListener, state: Arc<Mutex<StandinState>>, settings: StandinSettings) {
+    let settings = Arc::new(settings);
+    // Held here, so that the end of this task ends each connection, as a crash does.
+    let mut connections = tokio::task::JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        connections.spawn(serve_connection(stream, state.clone(), settings.clone()));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    state: Arc<Mutex<StandinState>>,
+    settings: Arc<StandinSettings>,
+) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let (state, settings) = (state.clone(), settings.clone());
+        async move { run(request, &state, &settings).await }
+    });
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// What was drawn for one call.
+enum CallFate {
+    Answer,
+    Fail,
+    Silence,
+    Cut,
+}
+
+/// A body that breaks off: it announces more than it holds.
+type StandinBody = http_body_util::combinators::UnsyncBoxBody<Bytes, io::Error>;
+
+async fn run(
+    request: Request<Incoming>,
+    state: &Mutex<StandinState>,
+    settings: &StandinSettings,
+) -> Result<Response<StandinBody>, Infallible> {
+    let Some(_slot) = SlotGuard::take(state, settings.slots) else {
+        return Ok(answer(StatusCode::SERVICE_UNAVAILABLE, Some("shed"), "shed"));
+    };
+    let key = request.headers().get(KEY_HEADER).and_then(|key| key.to_str().ok());
+    let (fate, slowness) = begin(state, key.map(str::to_owned));
+    let path = request.uri().path().to_owned();
+    let body = request.into_body().collect().await.map(|body| body.to_bytes());
+    tokio::time::sleep(settings.takes.mul_f64(slowness)).await;
+    let text = format!("{} {path} {}", settings.upstream, body.map_or(0, |body| body.len()));
+    Ok(match fate {
+        CallFate::Answer => answer(StatusCode::OK, None, &text),
+        CallFate::Fail => answer(StatusCode::INTERNAL_SERVER_ERROR, None, "failed"),
+        CallFate::Silence => std::future::pending().await,
+        CallFate::Cut => cut_answer(&text),
+    })
+}
+
+fn begin(state: &Mutex<StandinState>, key: Option<String>) -> (CallFate, f64) {
+    let mut state = lock(state);
+    state.ran += 1;
+    state.last_call = Some(std::time::Instant::now());
+    if let Some(key) = key {
+        *state.runs_by_key.entry(key).or_default() += 1;
+    }
+    let fault = state.fault;
+    let draw: f64 = state.random.random();
+    let fate = match draw {
+        d if d < fault.errors => CallFate::Fail,
+        d if d < fault.errors + fault.silence => CallFate::Silence,
+        d if d < fault.errors + fault.silence + fault.cuts => CallFate::Cut,
+        _ => CallFate::Answer,
+    };
+    if !matches!(fate, CallFate::Answer) {
+        state.failed += 1;
+    }
+    (fate, fault.slowness)
+}
+
+fn answer(status: StatusCode, stated: Option<&'static str>, text: &str) -> Response<StandinBody> {
+    let body = Full::new(Bytes::copy_from_slice(text.as_bytes())).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    if let Some(stated) = stated {
+        let value = http::HeaderValue::from_static(stated);
+        response.headers_mut().insert(UPSTREAM_STATE_HEADER, value);
+    }
+    response
+}
+
+fn cut_answer(text: &str) -> Response<StandinBody> {
+    let whole = Bytes::copy_from_slice(text.as_bytes());
+    let half = whole.slice(..whole.len() / 2);
+    let cut = io::Error::new(io::ErrorKind::ConnectionAborted, "cut");
+    let frames = [Ok(http_body::Frame::data(half)), Err(cut)];
+    let body = http_body_util::StreamBody::new(futures::stream::iter(frames));
+    let mut response = Response::new(body.boxed_unsync());
+    let length = http::HeaderValue::from(whole.len());
+    response.headers_mut().insert(http::header::CONTENT_LENGTH, length);
+    response
+}
+
+struct SlotGuard<'a>(&'a Mutex<StandinState>);
+
+impl<'a> SlotGuard<'a> {
+    fn take(state: &'a Mutex<StandinState>, slots: u32) -> Option<Self> {
+        let mut held = lock(state);
+        if held.busy >= slots {
+            held.shed += 1;
+            return None;
+        }
+        held.busy += 1;
+        held.most_busy = held.most_busy.max(held.busy);
+        Some(Self(state))
+    }
+}
+
+impl Drop for SlotGuard<'_> {
+    fn drop(&mut self) {
+        lock(self.0).busy -= 1;
+    }
+}
+
+fn lock(state: &Mutex<StandinState>) -> MutexGuard<'_, StandinState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/trial/examples/hunt_day.rs
@@ -0,0 +1,177 @@
+//! The main job: both deployments on loopback, with a gray failure, a leaving upstream and a planned
+//! stop in the middle. Prints what callers saw and ends non-zero when a promise is broken.
+
+use std::{process::ExitCode, sync::Arc, time::Duration};
+
+use comfy_table::Table;
+use hdrhistogram::Histogram;
+use standin::{
+    call::{CallConnection, request},
+    upstream::FaultPlan,
+};
+use trial::{
+    balancer::BalancerStandin,
+    convoy,
+    deployment::{Deployment, DeploymentError, DeploymentPlan},
+    guild,
+    load::{LoadPlan, LoadTally, run},
+};
+
+const DAEMONS: usize = 3;
+const UPSTREAMS: u32 = 5;
+const CALLERS: usize = 24;
+const LASTS: Duration = Duration::from_secs(12);
+const GRAY_AFTER: Duration = Duration::from_secs(2);
+const LEAVE_AFTER: Duration = Duration::from_secs(2);
+const STOP_AFTER: Duration = Duration::from_secs(2);
+/// After which time a leaving upstream gets no new work.
+const LEAVING_LIMIT: Duration = Duration::from_secs(3);
+
+/// What one deployment's day came to.
+struct DayResult {
+    name: &'static str,
+    tally: LoadTally,
+    direct: Histogram<u64>,
+    doubled: usize,
+    refused_but_ran: usize,
+    late_work: Option<Duration>,
+    gray_failed: u64,
+}
+
+impl DayResult {
+    fn broken(&self) -> Vec<&'static str> {
+        let promises = [
+            (self.tally.cut > 0, "an answer was cut"),
+            (self.tally.foreign > 0, "a caller got another's answer"),
+            (self.doubled > 0, "a non-idempotent call ran twice"),
+            (self.refused_but_ran > 0, "a call that was refused as not run had run"),
+            (
+                self.late_work.is_some_and(|late| late > LEAVING_LIMIT),
+                "a leaving upstream got new work",
+            ),
+            (self.tally.whole == 0, "no call was answered"),
+        ];
+        promises.into_iter().filter(|(broken, _)| *broken).map(|(_, text)| text).collect()
+    }
+
+    fn added(&self, quantile: f64) -> f64 {
+        let through = self.tally.took.value_at_quantile(quantile);
+        let direct = self.direct.value_at_quantile(quantile);
+        (through as f64 - direct as f64) / 1_000.0
+    }
+}
+
+fn main() -> ExitCode {
+    let runtime = tokio::runtime::Runtime::new().expect("the system gives threads");
+    let mut results = Vec::new();
+    for plan in [guild::plan(UPSTREAMS), convoy::plan(UPSTREAMS)] {
+        match runtime.block_on(run_day(plan)) {
+            Ok(result) => results.push(result),
+            Err(error) => {
+                eprintln!("hunt_day: {error}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    print(&results);
+    let broken: Vec<_> = results.iter().flat_map(DayResult::broken).collect();
+    for promise in &broken {
+        eprintln!("hunt_day: promise broken: {promise}");
+    }
+    if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+async fn run_day(plan: DeploymentPlan) -> Result<DayResult, DeploymentError> {
+    let mut deployment = Deployment::spawn(plan, DAEMONS, 1).await?;
+    let direct = measure_direct(&deployment).await;
+    let balancer = Arc::new(BalancerStandin::spawn(deployment.entries()));
+    let load = tokio::spawn(run(
+        LoadPlan {
+            routes: deployment.plan.routes.clone(),
+            callers: CALLERS,
+            pause: Duration::from_millis(10),
+            lasts: LASTS,
+            seed: 7,
+        },
+        balancer,
+    ));
+    tokio::time::sleep(GRAY_AFTER).await;
+    let gray = 0;
+    deployment.upstreams[gray].set_fault(FaultPlan { errors: 0.3, ..FaultPlan::NONE });
+    tokio::time::sleep(LEAVE_AFTER).await;
+    let leaving = deployment.upstreams.len() - 1;
+    let left = std::time::Instant::now();
+    // Nobody listens only when all daemons are gone, which the load would show.
+    let _ = deployment.upstreams[leaving].leave().await;
+    tokio::time::sleep(STOP_AFTER).await;
+    deployment.stop(DAEMONS - 1).await;
+    let tally = load.await.expect("the load does not panic");
+    Ok(sum_up(&deployment, tally, direct, leaving, left, gray))
+}
+
+fn sum_up(
+    deployment: &Deployment,
+    tally: LoadTally,
+    direct: Histogram<u64>,
+    leaving: usize,
+    left: std::time::Instant,
+    gray: usize,
+) -> DayResult {
+    let mut runs = std::collections::HashMap::<String, u32>::new();
+    for upstream in &deployment.upstreams {
+        for (key, count) in upstream.runs_by_key() {
+            *runs.entry(key).or_default() += count;
+        }
+    }
+    let refused_but_ran = tally.refused_keys.iter().filter(|key| runs.contains_key(*key)).count();
+    let last_call = deployment.upstreams[leaving].last_call();
+    DayResult {
+        name: deployment.plan.name,
+        doubled: runs.values().filter(|&&count| count > 1).count(),
+        refused_but_ran,
+        late_work: last_call.map(|last| last.saturating_duration_since(left)),
+        gray_failed: deployment.upstreams[gray].failed(),
+        tally,
+        direct,
+    }
+}
+
+async fn measure_direct(deployment: &Deployment) -> Histogram<u64> {
+    let mut took = Histogram::new(3).expect("three digits are allowed");
+    let address = deployment.upstreams[0].address();
+    let Ok(mut connection) = CallConnection::open(address).await else { return took };
+    for _ in 0..500 {
+        let started = std::time::Instant::now();
+        if connection.send(request("GET", "/direct", &[], b"")).await.is_ok() {
+            let micros = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+            took.record(micros).expect("the histogram grows as needed");
+        }
+    }
+    took
+}
+
+fn print(results: &[DayResult]) {
+    let mut table = Table::new();
+    let mut header = vec!["".to_owned()];
+    header.extend(results.iter().map(|result| result.name.to_owned()));
+    table.set_header(header);
+    let mut row = |name: &str, cell: &dyn Fn(&DayResult) -> String| {
+        let mut cells = vec![name.to_owned()];
+        cells.extend(results.iter().map(cell));
+        table.add_row(cells);
+    };
+    row("calls", &|r| r.tally.calls.to_string());
+    row("whole answers", &|r| r.tally.whole.to_string());
+    row("upstream errors passed on", &|r| r.tally.errors.to_string());
+    row("not run", &|r| r.tally.not_run.to_string());
+    row("unknown", &|r| r.tally.unknown.to_string());
+    row("cut", &|r| r.tally.cut.to_string());
+    row("doubled runs", &|r| r.doubled.to_string());
+    row("failures by the gray upstream", &|r| r.gray_failed.to_string());
+    row("last work after leaving (ms)", &|r| {
+        r.late_work.map_or("none".to_owned(), |late| late.as_millis().to_string())
+    });
+    row("added delay p50 (ms)", &|r| format!("{:.2}", r.added(0.5)));
+    row("added delay p99 (ms)", &|r| format!("{:.2}", r.added(0.99)));
+    eprintln!("{table}");
+}
--- /dev/null
+++ b/crates/trial/src/lib.rs
@@ -0,0 +1,14 @@
+//! The whole path on one machine: daemons, upstream stand-ins, a balancer and callers on loopback.
+//!
+//! - [`deployment`]: starts daemons and upstreams and puts a configuration in force;
+//! - [`guild`] and [`convoy`]: the two deployments of the brief, with fewer upstreams;
+//! - [`balancer`]: sends callers to the VMs whose health page says so;
+//! - [`load`]: callers and what became of their calls;
+//! - [`folder`]: a temporary data folder.
+
+pub mod balancer;
+pub mod convoy;
+pub mod deployment;
+pub mod folder;
+pub mod guild;
+pub mod load;
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,9 @@
+//! Towards upstreams: their announcements, the connections to them and the exchanges on these.
+//!
+//! - [`announce`]: the HTTP interface on which upstreams announce themselves;
+//! - [`exchange`]: one request and its whole answer on one connection;
+//! - [`pool`]: the connections to each upstream.
+
+pub mod announce;
+pub mod exchange;
+pub mod pool;
