trial: failure tests on the whole path, and its promises in one place

Cause: the main job judged the promises by itself; tests of failures need the same judgement, a way to kill a VM and a load that can be waited for without sleeping.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -138,6 +138,9 @@
         let _ = self.fleet.watch_drain().wait_for(|&asked| asked).await;
     }
 
+    /// Ends at once and without a word, as a crash would. For tests of failures.
+    pub fn kill(self) {}
+
     /// Stops as planned: has the balancer send calls elsewhere, hands over duties, finishes what is
     /// in flight, ends.
     pub async fn stop(self) {
--- a/crates/trial/examples/hunt_day.rs
+++ b/crates/trial/examples/hunt_day.rs
@@ -14,16 +14,17 @@
     convoy,
     deployment::{Deployment, DeploymentError, DeploymentPlan},
     guild,
-    load::{LoadPlan, LoadTally, run},
+    load::{LoadPlan, LoadRun, LoadTally},
+    promise::{BrokenPromise, broken_promises},
 };
 
 const DAEMONS: usize = 3;
 const UPSTREAMS: u32 = 5;
 const CALLERS: usize = 24;
-const LASTS: Duration = Duration::from_secs(12);
 const GRAY_AFTER: Duration = Duration::from_secs(2);
 const LEAVE_AFTER: Duration = Duration::from_secs(2);
 const STOP_AFTER: Duration = Duration::from_secs(2);
+const END_AFTER: Duration = Duration::from_secs(6);
 /// After which time a leaving upstream gets no new work.
 const LEAVING_LIMIT: Duration = Duration::from_secs(3);
 
@@ -32,26 +33,22 @@
     name: &'static str,
     tally: LoadTally,
     direct: Histogram<u64>,
-    doubled: usize,
-    refused_but_ran: usize,
+    broken: Vec<BrokenPromise>,
     late_work: Option<Duration>,
     gray_failed: u64,
 }
 
 impl DayResult {
-    fn broken(&self) -> Vec<&'static str> {
-        let promises = [
-            (self.tally.cut > 0, "an answer was cut"),
-            (self.tally.foreign > 0, "a caller got another's answer"),
-            (self.doubled > 0, "a non-idempotent call ran twice"),
-            (self.refused_but_ran > 0, "a call that was refused as not run had run"),
-            (
-                self.late_work.is_some_and(|late| late > LEAVING_LIMIT),
-                "a leaving upstream got new work",
-            ),
-            (self.tally.whole == 0, "no call was answered"),
-        ];
-        promises.into_iter().filter(|(broken, _)| *broken).map(|(_, text)| text).collect()
+    fn leaving_got_work(&self) -> bool {
+        self.late_work.is_some_and(|late| late > LEAVING_LIMIT)
+    }
+
+    fn doubled(&self) -> u64 {
+        let doubled = |broken: &BrokenPromise| match broken {
+            BrokenPromise::RanTwice { keys } => *keys,
+            _ => 0,
+        };
+        self.broken.iter().map(doubled).sum()
     }
 
     fn added(&self, quantile: f64) -> f64 {
@@ -74,27 +71,30 @@
         }
     }
     print(&results);
-    let broken: Vec<_> = results.iter().flat_map(DayResult::broken).collect();
-    for promise in &broken {
-        eprintln!("hunt_day: promise broken: {promise}");
+    let mut kept = true;
+    for result in &results {
+        for promise in &result.broken {
+            eprintln!("hunt_day: {}: promise broken: {promise}", result.name);
+        }
+        if result.leaving_got_work() {
+            eprintln!("hunt_day: {}: promise broken: a leaving upstream got new work", result.name);
+        }
+        kept &= result.broken.is_empty() && !result.leaving_got_work();
     }
-    if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
 async fn run_day(plan: DeploymentPlan) -> Result<DayResult, DeploymentError> {
     let mut deployment = Deployment::spawn(plan, DAEMONS, 1).await?;
     let direct = measure_direct(&deployment).await;
     let balancer = Arc::new(BalancerStandin::spawn(deployment.entries()));
-    let load = tokio::spawn(run(
-        LoadPlan {
-            routes: deployment.plan.routes.clone(),
-            callers: CALLERS,
-            pause: Duration::from_millis(10),
-            lasts: LASTS,
-            seed: 7,
-        },
-        balancer,
-    ));
+    let load_plan = LoadPlan {
+        routes: deployment.plan.routes.clone(),
+        callers: CALLERS,
+        pause: Duration::from_millis(10),
+        seed: 7,
+    };
+    let load = LoadRun::spawn(&load_plan, &balancer);
     tokio::time::sleep(GRAY_AFTER).await;
     let gray = 0;
     deployment.upstreams[gray].set_fault(FaultPlan { errors: 0.3, ..FaultPlan::NONE });
@@ -105,7 +105,8 @@
     let _ = deployment.upstreams[leaving].leave().await;
     tokio::time::sleep(STOP_AFTER).await;
     deployment.stop(DAEMONS - 1).await;
-    let tally = load.await.expect("the load does not panic");
+    tokio::time::sleep(END_AFTER).await;
+    let tally = load.finish().await;
     Ok(sum_up(&deployment, tally, direct, leaving, left, gray))
 }
 
@@ -117,18 +118,10 @@
     left: std::time::Instant,
     gray: usize,
 ) -> DayResult {
-    let mut runs = std::collections::HashMap::<String, u32>::new();
-    for upstream in &deployment.upstreams {
-        for (key, count) in upstream.runs_by_key() {
-            *runs.entry(key).or_default() += count;
-        }
-    }
-    let refused_but_ran = tally.refused_keys.iter().filter(|key| runs.contains_key(*key)).count();
     let last_call = deployment.upstreams[leaving].last_call();
     DayResult {
         name: deployment.plan.name,
-        doubled: runs.values().filter(|&&count| count > 1).count(),
-        refused_but_ran,
+        broken: broken_promises(&tally, &deployment.runs_by_key()),
         late_work: last_call.map(|last| last.saturating_duration_since(left)),
         gray_failed: deployment.upstreams[gray].failed(),
         tally,
@@ -165,8 +158,9 @@
     row("upstream errors passed on", &|r| r.tally.errors.to_string());
     row("not run", &|r| r.tally.not_run.to_string());
     row("unknown", &|r| r.tally.unknown.to_string());
+    row("resends of a key", &|r| r.tally.resends.to_string());
     row("cut", &|r| r.tally.cut.to_string());
-    row("doubled runs", &|r| r.doubled.to_string());
+    row("doubled runs", &|r| r.doubled().to_string());
     row("failures by the gray upstream", &|r| r.gray_failed.to_string());
     row("last work after leaving (ms)", &|r| {
         r.late_work.map_or("none".to_owned(), |late| late.as_millis().to_string())
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -1,6 +1,9 @@
 //! Starts daemons and upstream stand-ins on loopback and puts a configuration in force.
+//!
+//! Each daemon runs on a runtime of its own. Ending that runtime between two polls of its tasks is
+//! what a kill is: no connection is closed in order, no duty handed over, nothing more is written.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
 
 use crate::folder::TempFolder;
 use daemon::{
@@ -10,6 +13,7 @@
 use model::{
     call::CallClass,
     config::ServiceRule,
+    names::MemberName,
     numbers::ConfigNumber,
     patch::{ConfigChange, ConfigPatch, PatchId},
     route::RouteRule,
@@ -21,6 +25,7 @@
     call::{CallError, call, request},
     upstream::{StandinSettings, UpstreamStandin},
 };
+use tokio::runtime::{Builder, Runtime};
 use uuid::Uuid;
 
 /// The secret of all ports of a deployment.
@@ -106,17 +111,55 @@
     },
 }
 
+/// One VM: its settings and folder outlive its daemon.
+struct DeployedVm {
+    settings: DaemonSettings,
+    running: Option<RunningDaemon>,
+    _folder: Option<TempFolder>,
+}
+
+struct RunningDaemon {
+    runtime: OwnRuntime,
+    node: DaemonNode,
+}
+
+/// A runtime that ends without waiting for its tasks, also where waiting is not allowed.
+struct OwnRuntime(Option<Runtime>);
+
+impl OwnRuntime {
+    fn open() -> io::Result<Self> {
+        let mut builder = Builder::new_multi_thread();
+        let runtime = builder.worker_threads(TRAFFIC_THREADS).enable_all().build()?;
+        Ok(Self(Some(runtime)))
+    }
+
+    async fn run<T: Send + 'static>(&self, task: impl Future<Output = T> + Send + 'static) -> T {
+        let runtime = self.0.as_ref().expect("taken only when dropped");
+        runtime.spawn(task).await.expect("a daemon does not panic")
+    }
+}
+
+impl Drop for OwnRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 /// Running daemons and upstreams.
 pub struct Deployment {
     /// What it was started from.
     pub plan: DeploymentPlan,
-    /// The daemons. The first has the data folder. One that was stopped is `None`.
-    pub daemons: Vec<Option<DaemonNode>>,
     /// The upstreams.
     pub upstreams: Vec<UpstreamStandin>,
-    folders: Vec<TempFolder>,
+    vms: Vec<DeployedVm>,
+    replicas: usize,
 }
 
+/// How many threads the traffic of one daemon has.
+const TRAFFIC_THREADS: usize = 2;
+
 impl Deployment {
     /// Starts `daemons` daemons, of which the first `replicas` have a disk, and the planned
     /// upstreams, submits the planned configuration and waits until it is in force everywhere and
@@ -130,10 +173,11 @@
         daemons: usize,
         replicas: usize,
     ) -> Result<Self, DeploymentError> {
-        let mut deployment =
-            Self { plan, daemons: Vec::new(), upstreams: Vec::new(), folders: Vec::new() };
+        let mut deployment = Self { plan, upstreams: Vec::new(), vms: Vec::new(), replicas };
         for number in 0..daemons {
-            deployment.spawn_daemon(number, number < replicas).await?;
+            let vm = deployment.new_vm(number)?;
+            deployment.vms.push(vm);
+            deployment.start(number).await?;
         }
         deployment.submit_plan().await?;
         deployment.spawn_upstreams().await?;
@@ -141,40 +185,78 @@
         Ok(deployment)
     }
 
-    async fn spawn_daemon(&mut self, number: usize, disk: bool) -> Result<(), DeploymentError> {
-        let seeds = self.daemons.iter().flatten().map(DaemonNode::fleet_address).collect();
-        let data = if disk {
-            let folder = TempFolder::open().context(SystemSnafu)?;
-            let path = folder.path().to_owned();
-            self.folders.push(folder);
-            Some(path)
-        } else {
-            None
-        };
+    fn new_vm(&self, number: usize) -> Result<DeployedVm, DeploymentError> {
+        let folder = (number < self.replicas).then(TempFolder::open).transpose();
+        let folder = folder.context(SystemSnafu)?;
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let secret = SharedSecret::from_bytes(SECRET.as_bytes()).expect("it is long enough");
         let settings = DaemonSettings {
-            member: format!("{}-{number}", self.plan.name).parse().expect("a valid name"),
+            member: self.member(number),
             domain: self.plan.domains[number % 4].parse().expect("a valid name"),
             caller_listen: any,
             announce_listen: any,
             operator_listen: any,
             platform_listen: any,
             fleet_listen: any,
-            seeds,
-            data,
+            seeds: Vec::new(),
+            data: folder.as_ref().map(|folder| folder.path().to_owned()),
             fleet_secret: secret.clone(),
             operator_secret: secret.clone(),
             announce_secret: secret,
         };
-        let daemon = DaemonNode::spawn(&settings).await.context(DaemonSnafu)?;
-        self.daemons.push(Some(daemon));
+        Ok(DeployedVm { settings, running: None, _folder: folder })
+    }
+
+    fn member(&self, number: usize) -> MemberName {
+        format!("{}-{number}", self.plan.name).parse().expect("a valid name")
+    }
+
+    /// Starts the daemon of a VM, also again after it was stopped or killed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not start.
+    pub async fn start(&mut self, number: usize) -> Result<(), DeploymentError> {
+        let mut settings = self.vms[number].settings.clone();
+        settings.seeds = self.running().map(DaemonNode::fleet_address).collect();
+        let runtime = OwnRuntime::open().context(SystemSnafu)?;
+        let spawned = runtime.run(async move { DaemonNode::spawn(&settings).await }).await;
+        let node = spawned.context(DaemonSnafu)?;
+        self.vms[number].running = Some(RunningDaemon { runtime, node });
         Ok(())
     }
 
+    /// Stops a daemon as planned.
+    pub async fn stop(&mut self, number: usize) {
+        if let Some(RunningDaemon { runtime, node }) = self.vms[number].running.take() {
+            runtime.run(node.stop()).await;
+        }
+    }
+
+    /// Kills a daemon.
+    pub fn kill(&mut self, number: usize) {
+        if let Some(RunningDaemon { runtime, node }) = self.vms[number].running.take() {
+            drop(runtime);
+            node.kill();
+        }
+    }
+
+    /// Lists the daemons that run.
+    pub fn running(&self) -> impl DoubleEndedIterator<Item = &DaemonNode> {
+        self.vms.iter().filter_map(|vm| vm.running.as_ref()).map(|running| &running.node)
+    }
+
+    /// Returns a daemon that runs.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it was stopped or killed.
+    pub fn daemon(&self, number: usize) -> &DaemonNode {
+        &self.vms[number].running.as_ref().expect("the daemon runs").node
+    }
+
     async fn spawn_upstreams(&mut self) -> Result<(), DeploymentError> {
-        let announce: Vec<_> =
-            self.daemons.iter().flatten().map(DaemonNode::announce_address).collect();
+        let announce: Vec<_> = self.running().map(DaemonNode::announce_address).collect();
         for service in self.plan.services.clone() {
             for number in 0..service.upstreams {
                 let mut announce = announce.clone();
@@ -248,7 +330,7 @@
         &self,
         patch: &ConfigPatch,
     ) -> Result<Option<PatchAnswer>, DeploymentError> {
-        let last = self.daemons.iter().flatten().next_back().expect("a daemon runs");
+        let last = self.running().next_back().expect("a daemon runs");
         let body = serde_json::to_vec(patch).expect("a patch has a JSON form");
         let bearer = format!("Bearer {SECRET}");
         let headers = [("authorization", bearer.as_str()), ("content-type", "application/json")];
@@ -269,14 +351,14 @@
     ) -> Result<serde_json::Value, DeploymentError> {
         let bearer = format!("Bearer {SECRET}");
         let get = request("GET", path, &[("authorization", &bearer)], b"");
-        let daemon = self.daemons[daemon].as_ref().expect("the daemon runs");
-        let answer = call(daemon.operator_address(), get).await.context(OperatorSnafu)?;
+        let answer =
+            call(self.daemon(daemon).operator_address(), get).await.context(OperatorSnafu)?;
         Ok(serde_json::from_slice(&answer.body).unwrap_or_default())
     }
 
     async fn wait_until_ready(&self) -> Result<(), DeploymentError> {
         let deadline = tokio::time::Instant::now() + READY_TIMEOUT;
-        for number in 0..self.daemons.len() {
+        for number in 0..self.vms.len() {
             while !self.is_ready(number).await? {
                 let what = "configuration and upstreams on each VM";
                 ensure!(tokio::time::Instant::now() < deadline, NotReadySnafu { what });
@@ -290,20 +372,24 @@
         let upstreams = self.page(number, "/upstreams").await?;
         let status = self.page(number, "/status").await?;
         let known = upstreams.as_array().map_or(0, Vec::len) == self.upstreams.len();
-        let members = status["members"] == self.daemons.len();
+        let members = status["members"] == self.vms.len();
         Ok(known && members && status["in-force"] == status["members"] && status["accepted"] == 1)
     }
 
-    /// Stops a daemon as planned.
-    pub async fn stop(&mut self, number: usize) {
-        if let Some(daemon) = self.daemons[number].take() {
-            daemon.stop().await;
+    /// Returns how often each key ran, over all upstreams.
+    pub fn runs_by_key(&self) -> HashMap<String, u32> {
+        let mut runs = HashMap::new();
+        for upstream in &self.upstreams {
+            for (key, count) in upstream.runs_by_key() {
+                *runs.entry(key).or_default() += count;
+            }
         }
+        runs
     }
 
     /// Lists where callers are served, with where the balancer asks.
     pub fn entries(&self) -> Vec<(SocketAddr, SocketAddr)> {
-        let daemons = self.daemons.iter().flatten();
-        daemons.map(|daemon| (daemon.caller_address(), daemon.platform_address())).collect()
+        let entry = |node: &DaemonNode| (node.caller_address(), node.platform_address());
+        self.running().map(entry).collect()
     }
 }
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`guild`] and [`convoy`]: the two deployments of the brief, with fewer upstreams;
 //! - [`balancer`]: sends callers to the VMs whose health page says so;
 //! - [`load`]: callers and what became of their calls;
+//! - [`promise`]: what must hold after any load;
 //! - [`folder`]: a temporary data folder.
 
 pub mod balancer;
@@ -12,3 +13,4 @@
 pub mod folder;
 pub mod guild;
 pub mod load;
+pub mod promise;
--- a/crates/trial/src/load.rs
+++ b/crates/trial/src/load.rs
@@ -1,7 +1,10 @@
 //! Callers, and what became of their calls.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -14,7 +17,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use standin::call::{CallConnection, WholeAnswer, request};
-use tokio::task::JoinSet;
+use tokio::{sync::watch, task::JoinSet};
 
 /// What a load is made of.
 #[derive(Clone, Debug)]
@@ -25,8 +28,6 @@
     pub callers: usize,
     /// How long a caller pauses between two calls.
     pub pause: Duration,
-    /// How long the load lasts.
-    pub lasts: Duration,
     /// Seeds what callers draw.
     pub seed: u64,
 }
@@ -48,8 +49,12 @@
     pub cut: u64,
     /// Answers that belong to another request.
     pub foreign: u64,
-    /// Keys that were answered with "not run".
+    /// Resends of a key after an answer that did not settle it.
+    pub resends: u64,
+    /// Keys of which each answer said that nothing was run.
     pub refused_keys: Vec<String>,
+    /// Keys that got a whole answer, so that they must have run once.
+    pub answered_keys: Vec<String>,
     /// How long whole answers took, in microseconds.
     pub took: Histogram<u64>,
 }
@@ -64,7 +69,9 @@
             errors: 0,
             cut: 0,
             foreign: 0,
+            resends: 0,
             refused_keys: Vec::new(),
+            answered_keys: Vec::new(),
             took: Histogram::new(3).expect("three digits are allowed"),
         }
     }
@@ -79,36 +86,76 @@
         self.errors += other.errors;
         self.cut += other.cut;
         self.foreign += other.foreign;
+        self.resends += other.resends;
         self.refused_keys.extend(other.refused_keys.iter().cloned());
+        self.answered_keys.extend(other.answered_keys.iter().cloned());
         self.took.add(&other.took).expect("both grow as needed");
     }
 }
 
-/// Runs a load through a balancer.
-pub async fn run(plan: LoadPlan, balancer: Arc<BalancerStandin>) -> LoadTally {
-    let mut callers = JoinSet::new();
-    for number in 0..plan.callers {
-        callers.spawn(run_caller(plan.clone(), number, balancer.clone()));
+/// A running load. Dropping it ends it.
+pub struct LoadRun {
+    callers: JoinSet<LoadTally>,
+    stop: Arc<AtomicBool>,
+    settled: watch::Receiver<u64>,
+}
+
+/// How long a load may take to settle the calls that are waited for.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(20);
+
+impl LoadRun {
+    /// Starts the callers.
+    pub fn spawn(plan: &LoadPlan, balancer: &Arc<BalancerStandin>) -> Self {
+        let mut callers = JoinSet::new();
+        let stop = Arc::new(AtomicBool::new(false));
+        let (count, settled) = watch::channel(0);
+        let count = Arc::new(count);
+        for number in 0..plan.callers {
+            let caller = LoadCaller {
+                random: Pcg64Mcg::seed_from_u64(plan.seed.wrapping_add(number as u64)),
+                tally: LoadTally::default(),
+                connection: None,
+                number,
+                balancer: balancer.clone(),
+                settled: count.clone(),
+            };
+            callers.spawn(run_caller(caller, plan.clone(), stop.clone()));
+        }
+        Self { callers, stop, settled }
     }
-    let mut tally = LoadTally::default();
-    while let Some(one) = callers.join_next().await {
-        tally.merge(&one.expect("a caller does not panic"));
+
+    /// Waits until `calls` more calls are settled.
+    ///
+    /// # Panics
+    ///
+    /// Panics when they are not within 20 s.
+    pub async fn after(&mut self, calls: u64) {
+        let aim = *self.settled.borrow() + calls;
+        let reached = self.settled.wait_for(|&settled| settled >= aim);
+        let reached = tokio::time::timeout(PROGRESS_TIMEOUT, reached).await;
+        assert!(reached.is_ok_and(|reached| reached.is_ok()), "the load came to a halt");
+    }
+
+    /// Ends the load once each caller's present call is settled.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a caller did.
+    pub async fn finish(mut self) -> LoadTally {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut tally = LoadTally::default();
+        while let Some(one) = self.callers.join_next().await {
+            tally.merge(&one.expect("a caller does not panic"));
+        }
+        tally
     }
-    tally
 }
 
-async fn run_caller(plan: LoadPlan, number: usize, balancer: Arc<BalancerStandin>) -> LoadTally {
-    let mut caller = LoadCaller {
-        random: Pcg64Mcg::seed_from_u64(plan.seed.wrapping_add(number as u64)),
-        tally: LoadTally::default(),
-        connection: None,
-        number,
-        balancer,
-    };
-    let until = Instant::now() + plan.lasts;
-    while Instant::now() < until {
+async fn run_caller(mut caller: LoadCaller, plan: LoadPlan, stop: Arc<AtomicBool>) -> LoadTally {
+    while !stop.load(Ordering::Relaxed) {
         let route = plan.routes[caller.random.random_range(0..plan.routes.len())];
         caller.call(route).await;
+        caller.settled.send_modify(|settled| *settled += 1);
         tokio::time::sleep(plan.pause).await;
     }
     caller.tally
@@ -120,31 +167,82 @@
     connection: Option<(std::net::SocketAddr, CallConnection)>,
     number: usize,
     balancer: Arc<BalancerStandin>,
+    settled: Arc<watch::Sender<u64>>,
 }
 
+/// What one answer told of its call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerKind {
+    Whole,
+    Error,
+    NotRun,
+    Unknown,
+    InProgress,
+    Cut,
+}
+
+/// How often a key is sent again before its caller gives up.
+const RESENDS_LIMIT: u32 = 8;
+
+/// How long a caller waits before it sends a key again.
+const RESEND_PAUSE: Duration = Duration::from_millis(250);
+
 impl LoadCaller {
     async fn call(&mut self, route: RoutePlan) {
         let path = format!("{}/{}", route.path, self.random.random::<u32>());
+        match route.class {
+            CallClass::Idempotent => {
+                self.send("GET", &path, None).await;
+            }
+            CallClass::KeyRequired | CallClass::Unprotected => self.call_with_key(&path).await,
+        }
+    }
+
+    /// Sends a key until its fate is settled, as a phone would after a lost answer.
+    async fn call_with_key(&mut self, path: &str) {
         let key = CallKey::from_parts(now_ms(), self.random.random()).to_string();
-        let headers = [(KEY_HEADER, key.as_str())];
-        let request = match route.class {
-            CallClass::Idempotent => request("GET", &path, &[], b""),
-            CallClass::KeyRequired | CallClass::Unprotected => {
-                request("POST", &path, &headers, b"one hundred rupees")
+        let mut all_not_run = true;
+        for attempt in 0..=RESENDS_LIMIT {
+            if attempt > 0 {
+                self.tally.resends += 1;
+                tokio::time::sleep(RESEND_PAUSE).await;
             }
-        };
-        let Some(mut connection) = self.connect().await else {
-            return;
-        };
+            let kind = self.send("POST", path, Some(&key)).await;
+            all_not_run &= matches!(kind, Some(AnswerKind::NotRun) | None);
+            match kind {
+                Some(AnswerKind::Whole) => {
+                    self.tally.answered_keys.push(key);
+                    return;
+                }
+                Some(AnswerKind::Error | AnswerKind::Unknown) => return,
+                Some(AnswerKind::NotRun | AnswerKind::InProgress | AnswerKind::Cut) | None => (),
+            }
+        }
+        if all_not_run {
+            self.tally.refused_keys.push(key);
+        }
+    }
+
+    /// Sends one request. `None`: no VM took a connection, so nothing was sent.
+    async fn send(&mut self, method: &str, path: &str, key: Option<&str>) -> Option<AnswerKind> {
+        let headers: Vec<_> = key.iter().map(|&key| (KEY_HEADER, key)).collect();
+        let body: &[u8] = if key.is_some() { b"one hundred rupees" } else { b"" };
+        let mut connection = self.connect().await?;
         self.tally.calls += 1;
         let started = Instant::now();
-        match connection.1.send(request).await {
+        let answer = connection.1.send(request(method, path, &headers, body)).await;
+        let kind = match answer {
             Ok(answer) => {
-                self.count(&answer, &path, key, started.elapsed());
                 self.connection = Some(connection);
+                self.judge(&answer, path, started.elapsed())
             }
-            Err(_) => self.tally.cut += 1,
-        }
+            Err(_) => {
+                self.number += 1;
+                AnswerKind::Cut
+            }
+        };
+        self.count(kind);
+        Some(kind)
     }
 
     /// Keeps the connection as long as the balancer would.
@@ -155,24 +253,38 @@
             return Some(held);
         }
         let address = self.balancer.pick(self.number)?;
-        let connection = CallConnection::open(address).await.ok()?;
-        Some((address, connection))
+        let connection = CallConnection::open(address).await.ok();
+        if connection.is_none() {
+            self.number += 1;
+        }
+        Some((address, connection?))
     }
 
-    fn count(&mut self, answer: &WholeAnswer, path: &str, key: String, took: Duration) {
+    fn judge(&mut self, answer: &WholeAnswer, path: &str, took: Duration) -> AnswerKind {
         match answer.header(OUTCOME_HEADER) {
-            "not-run" => {
-                self.tally.not_run += 1;
-                self.tally.refused_keys.push(key);
+            "not-run" => AnswerKind::NotRun,
+            "unknown" => AnswerKind::Unknown,
+            "in-progress" => AnswerKind::InProgress,
+            _ if answer.status.is_server_error() => AnswerKind::Error,
+            _ => {
+                self.check_whole(answer, path, took);
+                AnswerKind::Whole
             }
-            "unknown" | "in-progress" => self.tally.unknown += 1,
-            _ if answer.status.is_server_error() => self.tally.errors += 1,
-            _ => self.count_whole(answer, path, took),
         }
     }
 
-    fn count_whole(&mut self, answer: &WholeAnswer, path: &str, took: Duration) {
-        self.tally.whole += 1;
+    fn count(&mut self, kind: AnswerKind) {
+        let counter = match kind {
+            AnswerKind::Whole => &mut self.tally.whole,
+            AnswerKind::Error => &mut self.tally.errors,
+            AnswerKind::NotRun => &mut self.tally.not_run,
+            AnswerKind::Unknown | AnswerKind::InProgress => &mut self.tally.unknown,
+            AnswerKind::Cut => &mut self.tally.cut,
+        };
+        *counter += 1;
+    }
+
+    fn check_whole(&mut self, answer: &WholeAnswer, path: &str, took: Duration) {
         let text = String::from_utf8_lossy(&answer.body);
         if text.split(' ').nth(1) != Some(path) {
             self.tally.foreign += 1;
