control: public signatures of the replicated engine

Cause: the fleet needs the calls, faults and packets of the replicas before they exist. Change: ControlHandle::open, async calls with a time limit, ReplicaFault, ReplicaPacket, ReplicaSettings; users mended. Behind them is still the in-memory state of one node.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,7 +11,7 @@
     entry::{CallEntry, EntryParts},
     server::{CallerError, CallerServer},
 };
-use control::handle::ControlHandle;
+use control::{fault::ControlError, handle::ControlHandle, settings::ReplicaSettings};
 use fleet::{driver::FleetError, handle::FleetNode, settings::FleetSettings};
 use log::info;
 use model::numbers::{ConfigNumber, IncarnationNumber};
@@ -32,6 +32,12 @@
         /// Why.
         source: FleetError,
     },
+    /// The replicas.
+    #[snafu(transparent)]
+    Control {
+        /// Why.
+        source: ControlError,
+    },
     /// The callers' side.
     #[snafu(transparent)]
     Caller {
@@ -83,7 +89,7 @@
     pub async fn spawn(settings: &DaemonSettings) -> Result<Self, DaemonError> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).context(ClockSnafu)?;
         let started_us = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
-        let control = settings.data.as_ref().map(|_| ControlHandle::open_in_memory());
+        let control = open_replicas(settings, started_us)?;
         let fleet = FleetNode::spawn(fleet_settings(settings, started_us), control)?;
         let port = Arc::new(fleet.clone());
         let entry = Arc::new(CallEntry::new(EntryParts {
@@ -151,6 +157,18 @@
     }
 }
 
+/// Opens the replicas of a VM with a data folder, as the only founder.
+fn open_replicas(
+    settings: &DaemonSettings,
+    seed: u64,
+) -> Result<Option<ControlHandle>, ControlError> {
+    let Some(folder) = settings.data.clone() else { return Ok(None) };
+    let (member, founders) = (settings.member.clone(), vec![settings.member.clone()]);
+    let (handle, _packets) =
+        ControlHandle::open(ReplicaSettings { member, folder, founders, seed })?;
+    Ok(Some(handle))
+}
+
 fn fleet_settings(settings: &DaemonSettings, started_us: u64) -> FleetSettings {
     FleetSettings {
         member: settings.member.clone(),
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -7,7 +7,7 @@
     link::transport,
     wire::{AskFault, FleetPeer, GossipMessage},
 };
-use control::handle::ControlHandle;
+use control::{fault::ReplicaFault, handle::ControlHandle};
 use futures::StreamExt;
 use model::{
     ledger::{ClaimAnswer, KeyClaim, KeyClose},
@@ -23,6 +23,17 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 
+/// How long a replica is waited for. A majority that is there answers in a few milliseconds.
+const REPLICA_WITHIN: Duration = Duration::from_secs(1);
+
+fn control_fault(fault: ReplicaFault, group: GroupNumber) -> ControlFault {
+    match fault {
+        ReplicaFault::NoSpace => ControlFault::NoSpace,
+        ReplicaFault::Refused { reason } => ControlFault::Refused { reason: reason.to_string() },
+        _ => ControlFault::Unavailable { group },
+    }
+}
+
 /// Answers the peers of this node.
 #[derive(Clone)]
 pub(crate) struct PeerServer {
@@ -56,7 +67,9 @@
     }
 
     async fn submit(self, _: Context, patch: ConfigPatch) -> Result<PatchResult, ControlFault> {
-        Ok(self.control(GroupNumber::CONFIG)?.submit(&patch))
+        let group = GroupNumber::CONFIG;
+        let answer = self.control(group)?.submit(patch, REPLICA_WITHIN).await;
+        answer.map_err(|fault| control_fault(fault, group))
     }
 
     async fn history(
@@ -65,20 +78,27 @@
         after: ConfigNumber,
         limit: u32,
     ) -> Result<Vec<PatchRecord>, ControlFault> {
-        Ok(self.control(GroupNumber::CONFIG)?.history(after, limit as usize))
+        let group = GroupNumber::CONFIG;
+        let answer = self.control(group)?.history(after, limit as usize, REPLICA_WITHIN).await;
+        answer.map_err(|fault| control_fault(fault, group))
     }
 
     async fn patch(self, _: Context, id: PatchId) -> Result<Option<PatchResult>, ControlFault> {
-        Ok(self.control(GroupNumber::CONFIG)?.patch(id))
+        let group = GroupNumber::CONFIG;
+        let answer = self.control(group)?.patch(id, REPLICA_WITHIN).await;
+        answer.map_err(|fault| control_fault(fault, group))
     }
 
     async fn claim(self, _: Context, claim: KeyClaim) -> Result<ClaimAnswer, ControlFault> {
-        Ok(self.control(GroupNumber::FIRST_LEDGER)?.claim(claim))
+        let group = GroupNumber::FIRST_LEDGER;
+        let answer = self.control(group)?.claim(group, claim, REPLICA_WITHIN).await;
+        answer.map_err(|fault| control_fault(fault, group))
     }
 
     async fn close(self, _: Context, close: KeyClose) -> Result<(), ControlFault> {
-        self.control(GroupNumber::FIRST_LEDGER)?.close(close);
-        Ok(())
+        let group = GroupNumber::FIRST_LEDGER;
+        let answer = self.control(group)?.close(group, close, REPLICA_WITHIN).await;
+        answer.map_err(|fault| control_fault(fault, group))
     }
 
     async fn drain(self, _: Context) {
