standin, trial: a caller leaves a connection when told so

Change: CallConnection::is_closing; the load opens a new connection then, as any HTTP client does. The check itself is unchanged.

--- a/crates/standin/src/call.rs
+++ b/crates/standin/src/call.rs
@@ -49,6 +49,7 @@
 pub struct CallConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     address: SocketAddr,
+    closing: bool,
 }
 
 impl CallConnection {
@@ -63,7 +64,12 @@
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu)?;
         tokio::spawn(connection);
-        Ok(Self { sender, address })
+        Ok(Self { sender, address, closing: false })
+    }
+
+    /// Tells whether the last answer asked for the connection to be left (`Connection: close`).
+    pub fn is_closing(&self) -> bool {
+        self.closing
     }
 
     /// Sends a request and reads its whole answer.
@@ -80,6 +86,8 @@
         self.sender.ready().await.context(BrokenSnafu)?;
         let response = self.sender.send_request(request).await.context(BrokenSnafu)?;
         let (parts, body) = response.into_parts();
+        let connection = parts.headers.get(header::CONNECTION);
+        self.closing = connection.is_some_and(|value| value.as_bytes() == b"close");
         let body = body.collect().await.context(BrokenSnafu)?.to_bytes();
         Ok(WholeAnswer { status: parts.status, headers: parts.headers, body })
     }
--- a/crates/trial/src/load.rs
+++ b/crates/trial/src/load.rs
@@ -249,6 +249,7 @@
     async fn connect(&mut self) -> Option<(std::net::SocketAddr, CallConnection)> {
         if let Some(held) = self.connection.take()
             && self.balancer.is_ready(held.0)
+            && !held.1.is_closing()
         {
             return Some(held);
         }
