caller: the call path whole, in small modules

Cause: the thin path held whole bodies only, retried on few faults, leaked the slot of a call whose caller went away, and said not-run of a call whose second ask was refused after a first try that ran. Change: request, tries, repeat, keyed, relay, headers, stall, limits as modules; bodies stream in bounded memory; hedges; claim and slot at the same time; a random claimant for each call; keyed calls placed again only on proof; limits on heads, bodies, idleness, connections; hop headers, Via, X-Forwarded-For, trailers, upgrades; Connection: close while the VM stops (daemon calls begin_closing). EntryParts loses its claimant (daemon: one line).

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,11 +1,28 @@
 //! The HTTP side towards callers.
 //!
-//! - [`server`]: takes connections and requests within limits;
+//! - [`server`]: takes connections within limits, and ends them without cutting a call;
+//! - [`limits`]: what one VM takes from its callers;
 //! - [`entry`]: the path of one call, from its route to its outcome;
+//! - `request`: reads a request's head and body;
+//! - `tries`: one try of a call at one upstream;
+//! - `repeat`: the run of an idempotent call;
+//! - `keyed`: the run of a call with an idempotency key;
+//! - [`body`], `relay`: bodies that are whole, and such that stream through;
+//! - `headers`: what a proxy changes on the way;
 //! - [`answer`]: what the fleet itself answers;
-//! - [`digest`]: what makes a request the same request.
+//! - [`digest`]: what makes a request the same request;
+//! - `stall`: ends connections on which nothing moves.
 
 pub mod answer;
+pub mod body;
 pub mod digest;
 pub mod entry;
+mod headers;
+mod keyed;
+pub mod limits;
+mod relay;
+mod repeat;
+mod request;
 pub mod server;
+mod stall;
+mod tries;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -98,7 +98,6 @@
             pool: ConnectionPool::new(),
             config: fleet.config_in_force(),
             domain: settings.domain.clone(),
-            claimant: started_us << 20,
         }));
         let announce_secret = settings.announce_secret.clone();
         let announce =
@@ -152,6 +151,7 @@
     pub async fn stop(self) {
         info!("planned stop");
         self.ready.set(ReadyState::Stopping);
+        self.callers.begin_closing();
         self.fleet.begin_drain();
         let lame_duck = self.fleet.config_in_force().load().settings().lame_duck_ms;
         tokio::time::sleep(Duration::from_millis(u64::from(lame_duck))).await;
