standin: silent connections, crash by body, refusals, chunked cuts

Change: set_crash_on, set_refusal, silence_connections, chunked_cuts; OPTIONS is answered without a slot, as a probe is; fault and announcer in modules of their own, FaultPlan still reachable by its old path.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,7 +2,10 @@
 //! and a caller that speaks plain HTTP/1.1.
 //!
 //! - [`upstream`]: an upstream with slots, a service time and faults;
+//! - [`fault`]: how it misbehaves by chance;
 //! - [`call`]: one request and its whole answer.
 
+mod announcer;
 pub mod call;
+pub mod fault;
 pub mod upstream;
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -9,14 +9,19 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use crate::call::{CallError, call, request};
+pub use crate::fault::FaultPlan;
+use crate::{
+    announcer::{Announcer, renew},
+    call::CallError,
+    fault::CallFate,
+};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use model::{
-    announcement::{UpstreamAnnouncement, UpstreamState},
+    announcement::UpstreamState,
     call::{KEY_HEADER, UPSTREAM_STATE_HEADER},
     names::{DomainName, ServiceName, UpstreamName},
     numbers::IncarnationNumber,
@@ -25,27 +30,10 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::Notify,
     task::JoinHandle,
 };
 
-/// How an upstream misbehaves.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct FaultPlan {
-    /// The share of calls answered with status 500, from 0 to 1.
-    pub errors: f64,
-    /// By how much each call takes longer.
-    pub slowness: f64,
-    /// The share of calls that are never answered.
-    pub silence: f64,
-    /// The share of calls whose answer breaks off in the middle.
-    pub cuts: f64,
-}
-
-impl FaultPlan {
-    /// Does not misbehave.
-    pub const NONE: Self = Self { errors: 0.0, slowness: 1.0, silence: 0.0, cuts: 0.0 };
-}
-
 /// What an upstream is started with.
 #[derive(Clone, Debug)]
 pub struct StandinSettings {
@@ -70,7 +58,7 @@
 }
 
 #[derive(Debug)]
-struct StandinState {
+pub(crate) struct StandinState {
     fault: FaultPlan,
     busy: u32,
     most_busy: u32,
@@ -78,10 +66,18 @@
     ran: u64,
     failed: u64,
     runs_by_key: HashMap<String, u32>,
-    state: UpstreamState,
-    sequence: u64,
+    pub(crate) state: UpstreamState,
+    pub(crate) sequence: u64,
     last_call: Option<std::time::Instant>,
     random: Pcg64Mcg,
+    /// A request body that holds these bytes ends the process.
+    crash_on: Option<Vec<u8>>,
+    /// What it states on the refusal with which it answers each call.
+    refuse_as: Option<&'static str>,
+    /// Connections accepted so far.
+    accepted: u64,
+    /// Connections up to this one answer nothing any more.
+    silent_up_to: u64,
 }
 
 /// A running upstream. Dropping it ends it without a word, as a crash does.
@@ -119,6 +115,10 @@
             sequence: 0,
             last_call: None,
             random: Pcg64Mcg::seed_from_u64(settings.seed),
+            crash_on: None,
+            refuse_as: None,
+            accepted: 0,
+            silent_up_to: 0,
         }));
         let micros = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
         let incarnation = IncarnationNumber(micros);
@@ -145,6 +145,27 @@
         lock(&self.state).fault = fault;
     }
 
+    /// Makes a request whose body holds these bytes end the upstream, as a fault of its program would.
+    pub fn set_crash_on(&self, bytes: Option<&[u8]>) {
+        lock(&self.state).crash_on = bytes.map(<[u8]>::to_vec);
+    }
+
+    /// Makes it refuse each call without running it, with this state (`draining`, `shed`).
+    pub fn set_refusal(&self, stated: Option<&'static str>) {
+        lock(&self.state).refuse_as = stated;
+    }
+
+    /// Makes all connections that are open now go silent for good, while new ones work.
+    pub fn silence_connections(&self) {
+        let mut state = lock(&self.state);
+        state.silent_up_to = state.accepted;
+    }
+
+    /// Returns how many connections it accepted.
+    pub fn accepted(&self) -> u64 {
+        lock(&self.state).accepted
+    }
+
     /// Says that it is leaving, to the first entry that listens. It goes on answering.
     ///
     /// # Errors
@@ -201,95 +222,65 @@
     }
 }
 
-struct Announcer {
-    settings: StandinSettings,
-    address: SocketAddr,
-    incarnation: IncarnationNumber,
-    state: Arc<Mutex<StandinState>>,
-}
-
-impl Announcer {
-    async fn announce(&self) -> Result<(), CallError> {
-        let announcement = self.next();
-        let body = serde_json::to_vec(&announcement).expect("an announcement has a JSON form");
-        let bearer = format!("Bearer {}", self.settings.secret);
-        let mut last = None;
-        for &entry in &self.settings.announce {
-            let post = request("POST", "/announce", &[("authorization", &bearer)], &body);
-            match call(entry, post).await {
-                Ok(_) => return Ok(()),
-                Err(error) => last = Some(error),
-            }
-        }
-        last.map_or(Ok(()), Err)
-    }
-
-    fn next(&self) -> UpstreamAnnouncement {
-        let mut state = lock(&self.state);
-        state.sequence += 1;
-        UpstreamAnnouncement {
-            service: self.settings.service.clone(),
-            upstream: self.settings.upstream.clone(),
-            address: self.address,
-            domain: self.settings.domain.clone(),
-            slots: self.settings.slots,
-            connections: self.settings.connections,
-            state: state.state,
-            incarnation: self.incarnation,
-            sequence: state.sequence,
-            lease_ms: u32::try_from(LEASE.as_millis()).unwrap_or(u32::MAX),
-            age_ms: 3_600_000,
-        }
-    }
-}
-
-async fn renew(announcer: Announcer) {
-    loop {
-        // A failed renewal is made up for by the next: the lease lasts for four of them.
-        let _ = announcer.announce().await;
-        tokio::time::sleep(LEASE / 4).await;
-    }
-}
-
 async fn serve(listener: TcpListener, state: Arc<Mutex<StandinState>>, settings: StandinSettings) {
-    let settings = Arc::new(settings);
+    let shared = Arc::new(ServeState { state, settings, crash: Notify::new() });
     // Held here, so that the end of this task ends each connection, as a crash does.
     let mut connections = tokio::task::JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
-        connections.spawn(serve_connection(stream, state.clone(), settings.clone()));
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { return };
+                connections.spawn(serve_connection(stream, shared.clone()));
+            }
+            () = shared.crash.notified() => return,
+        }
         while connections.try_join_next().is_some() {}
     }
 }
 
-async fn serve_connection(
-    stream: TcpStream,
+struct ServeState {
     state: Arc<Mutex<StandinState>>,
-    settings: Arc<StandinSettings>,
-) {
+    settings: StandinSettings,
+    crash: Notify,
+}
+
+async fn serve_connection(stream: TcpStream, shared: Arc<ServeState>) {
     let _ = stream.set_nodelay(true);
+    let number = {
+        let mut state = lock(&shared.state);
+        state.accepted += 1;
+        state.accepted
+    };
     let service = service_fn(move |request| {
-        let (state, settings) = (state.clone(), settings.clone());
-        async move { run(request, &state, &settings).await }
+        let shared = shared.clone();
+        async move {
+            let silent = lock(&shared.state).silent_up_to >= number;
+            if silent {
+                // Lost on the way: neither run nor answered.
+                std::future::pending::<()>().await;
+            }
+            run(request, &shared).await
+        }
     });
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
-/// What was drawn for one call.
-enum CallFate {
-    Answer,
-    Fail,
-    Silence,
-    Cut,
-}
-
 /// A body that breaks off: it announces more than it holds.
 type StandinBody = http_body_util::combinators::UnsyncBoxBody<Bytes, io::Error>;
 
 async fn run(
     request: Request<Incoming>,
-    state: &Mutex<StandinState>,
-    settings: &StandinSettings,
+    shared: &ServeState,
 ) -> Result<Response<StandinBody>, Infallible> {
+    let ServeState { state, settings, crash } = shared;
+    let refusal = lock(state).refuse_as;
+    if let Some(stated) = refusal {
+        return Ok(answer(StatusCode::SERVICE_UNAVAILABLE, Some(stated), stated));
+    }
+    // A probe asks for nothing.
+    if request.method() == http::Method::OPTIONS {
+        return Ok(answer(StatusCode::OK, None, ""));
+    }
     let Some(_slot) = SlotGuard::take(state, settings.slots) else {
         return Ok(answer(StatusCode::SERVICE_UNAVAILABLE, Some("shed"), "shed"));
     };
@@ -297,16 +288,28 @@
     let (fate, slowness) = begin(state, key.map(str::to_owned));
     let path = request.uri().path().to_owned();
     let body = request.into_body().collect().await.map(|body| body.to_bytes());
+    let body = body.unwrap_or_default();
+    if crashes(state, &body) {
+        crash.notify_one();
+        std::future::pending::<()>().await;
+    }
     tokio::time::sleep(settings.takes.mul_f64(slowness)).await;
-    let text = format!("{} {path} {}", settings.upstream, body.map_or(0, |body| body.len()));
+    let text = format!("{} {path} {}", settings.upstream, body.len());
     Ok(match fate {
         CallFate::Answer => answer(StatusCode::OK, None, &text),
         CallFate::Fail => answer(StatusCode::INTERNAL_SERVER_ERROR, None, "failed"),
         CallFate::Silence => std::future::pending().await,
-        CallFate::Cut => cut_answer(&text),
+        CallFate::Cut => cut_answer(&text, true),
+        CallFate::CutChunked => cut_answer(&text, false),
     })
 }
 
+fn crashes(state: &Mutex<StandinState>, body: &[u8]) -> bool {
+    let state = lock(state);
+    let Some(deadly) = state.crash_on.as_deref() else { return false };
+    body.windows(deadly.len().max(1)).any(|window| window == deadly)
+}
+
 fn begin(state: &Mutex<StandinState>, key: Option<String>) -> (CallFate, f64) {
     let mut state = lock(state);
     state.ran += 1;
@@ -316,12 +319,7 @@
     }
     let fault = state.fault;
     let draw: f64 = state.random.random();
-    let fate = match draw {
-        d if d < fault.errors => CallFate::Fail,
-        d if d < fault.errors + fault.silence => CallFate::Silence,
-        d if d < fault.errors + fault.silence + fault.cuts => CallFate::Cut,
-        _ => CallFate::Answer,
-    };
+    let fate = fault.fate(draw);
     if !matches!(fate, CallFate::Answer) {
         state.failed += 1;
     }
@@ -339,15 +337,17 @@
     response
 }
 
-fn cut_answer(text: &str) -> Response<StandinBody> {
+fn cut_answer(text: &str, with_length: bool) -> Response<StandinBody> {
     let whole = Bytes::copy_from_slice(text.as_bytes());
     let half = whole.slice(..whole.len() / 2);
     let cut = io::Error::new(io::ErrorKind::ConnectionAborted, "cut");
     let frames = [Ok(http_body::Frame::data(half)), Err(cut)];
     let body = http_body_util::StreamBody::new(futures::stream::iter(frames));
     let mut response = Response::new(body.boxed_unsync());
-    let length = http::HeaderValue::from(whole.len());
-    response.headers_mut().insert(http::header::CONTENT_LENGTH, length);
+    if with_length {
+        let length = http::HeaderValue::from(whole.len());
+        response.headers_mut().insert(http::header::CONTENT_LENGTH, length);
+    }
     response
 }
 
@@ -372,6 +372,6 @@
     }
 }
 
-fn lock(state: &Mutex<StandinState>) -> MutexGuard<'_, StandinState> {
+pub(crate) fn lock(state: &Mutex<StandinState>) -> MutexGuard<'_, StandinState> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
