--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -16,6 +16,7 @@
     fault::CallFate,
 };
 use bytes::Bytes;
+use futures::StreamExt;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -90,6 +91,9 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
+/// How long the first half of an answer may take to go out before the rest is cut off.
+const FLUSH_TIME: Duration = Duration::from_millis(10);
+
 /// How long an announcement holds.
 pub const LEASE: Duration = Duration::from_secs(2);
 
@@ -340,9 +344,13 @@
 fn cut_answer(text: &str, with_length: bool) -> Response<StandinBody> {
     let whole = Bytes::copy_from_slice(text.as_bytes());
     let half = whole.slice(..whole.len() / 2);
-    let cut = io::Error::new(io::ErrorKind::ConnectionAborted, "cut");
-    let frames = [Ok(http_body::Frame::data(half)), Err(cut)];
-    let body = http_body_util::StreamBody::new(futures::stream::iter(frames));
+    let begun = futures::stream::iter([Ok(http_body::Frame::data(half))]);
+    // Without a pause nothing of the answer goes out, which is a crash and no cut.
+    let cut = futures::stream::once(async {
+        tokio::time::sleep(FLUSH_TIME).await;
+        Err(io::Error::new(io::ErrorKind::ConnectionAborted, "cut"))
+    });
+    let body = http_body_util::StreamBody::new(begun.chain(cut));
     let mut response = Response::new(body.boxed_unsync());
     if with_length {
         let length = http::HeaderValue::from(whole.len());
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -5,8 +5,8 @@
 //!
 //! Failure: something between the two ends loses track of open connections, and they go silent for
 //! good while new ones work. Symptom: each call that is put on one waits in vain, and the upstream,
-//! which is well, looks hung. Safeguards: a connection counts as proved for [`PROOF_AGE`] after its
-//! last answer; a call that must not run twice goes only on a proved or a new one; once an exchange
+//! which is well, looks hung. Safeguards: a connection counts as proved for a second after its last
+//! answer ([`PoolSettings::proof_age`]); a call that must not run twice goes only on a proved or a new one; once an exchange
 //! on an unproved connection is silent for too long, each idle connection that has not answered
 //! since that exchange began is closed. Closing too many costs a millisecond for each, so doubt is
 //! enough and no proof is needed.
@@ -22,7 +22,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use model::call::OutcomeClass;
+use model::call::{CallClass, OutcomeClass};
 use tokio::{
     net::TcpStream,
     sync::Semaphore,
@@ -34,19 +34,9 @@
 /// The body of a request as it goes to an upstream.
 pub type RequestBody = UnsyncBoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
 
-/// How long a connection counts as proved after its last answer.
-///
-/// Failure: a payment is sent on a connection that was lost track of. Symptom: nothing comes back
-/// and it must be called unknown. A connection that answered within the last second is very unlikely
-/// to have been lost meanwhile; any other is passed over for a new one, which costs about 1 ms.
-pub const PROOF_AGE: Duration = Duration::from_secs(1);
-
 /// How many probes may run at once: one costs an upstream about 25 ms of its time.
 const PROBES_LIMIT: usize = 4;
 
-/// How often idle connections to all upstreams are looked through.
-const SWEEP_EVERY: Duration = Duration::from_secs(1);
-
 /// The limits of a pool.
 #[derive(Clone, Copy, Debug)]
 pub struct PoolSettings {
@@ -57,6 +47,15 @@
     /// How many idle connections are kept to all upstreams together: at 170,000 targets no entry
     /// can keep one to each.
     pub idle_total: usize,
+    /// How often the idle connections to all upstreams are looked through.
+    pub sweep_every: Duration,
+    /// How long a connection counts as proved after its last answer.
+    ///
+    /// Failure: a payment is sent on a connection that was lost track of. Symptom: nothing comes
+    /// back and it must be called unknown. A connection that answered within the last second is very
+    /// unlikely to have been lost meanwhile; any other is passed over for a new one, which costs
+    /// about 1 ms.
+    pub proof_age: Duration,
 }
 
 impl Default for PoolSettings {
@@ -65,6 +64,8 @@
             connect_timeout: Duration::from_millis(500),
             idle_limit: Duration::from_secs(30),
             idle_total: 1_024,
+            sweep_every: Duration::from_secs(1),
+            proof_age: Duration::from_secs(1),
         }
     }
 }
@@ -127,7 +128,7 @@
 
     /// Tells whether it may have been lost track of since its last answer.
     pub(crate) fn is_doubtful(&self) -> bool {
-        self.unproved_for.is_some_and(|age| age >= PROOF_AGE)
+        self.unproved_for.is_some_and(|age| age >= self.pool.shared.settings.proof_age)
     }
 
     pub(crate) fn give_back(mut self) {
@@ -230,7 +231,7 @@
         let settings = self.shared.settings;
         let mut state = self.lock();
         state.targets.entry(address).or_default().idle.push(idle);
-        if state.swept.elapsed() >= SWEEP_EVERY {
+        if state.swept.elapsed() >= settings.sweep_every {
             state.sweep(&settings);
         }
     }
@@ -284,8 +285,10 @@
         timeout(self.shared.settings.connect_timeout, open(address)).await.ok().flatten()
     }
 
-    pub(crate) fn idle_limit(&self) -> Duration {
-        self.shared.settings.idle_limit
+    /// Returns how old the last answer on a connection may be for a class of call to go on it.
+    pub(crate) fn oldest_for(&self, class: CallClass) -> Duration {
+        let settings = &self.shared.settings;
+        if class.is_idempotent() { settings.idle_limit } else { settings.proof_age }
     }
 
     fn lock(&self) -> MutexGuard<'_, PoolState> {
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     exchange::{AnswerBody, ExchangeFault},
-    pool::{ConnectionPool, PROOF_AGE, PooledConnection, RequestBody},
+    pool::{ConnectionPool, PooledConnection, RequestBody},
 };
 
 /// For which share of the time left an unproved connection may be silent before it is doubted. Half:
@@ -56,7 +56,7 @@
         within: Duration,
     ) -> Result<Response<AnswerBody>, ExchangeFault> {
         let until = Instant::now() + within;
-        let oldest = if class.is_idempotent() { self.idle_limit() } else { PROOF_AGE };
+        let oldest = self.oldest_for(class);
         loop {
             let connection = self.check_out(grant.address, grant.connections, oldest).await?;
             let new = connection.unproved_for.is_none();
