decide: public signatures of the decisions others build on

Cause: fleet and edge need the shapes before the decisions are whole. Change: PlacerAction tells eject, return and poison with what a log line needs; recount, lose_entry and poison on the placer; PoisonList, FallbackPlacer, FloorGuard, HedgePolicy, RetryPolicy, CapacityMeter. The fleet's driver ignores the new actions for now.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,7 +6,16 @@
 //! and gives the same result on each run.
 //!
 //! - [`placer`]: the one guard of a service's slots, queue and floor;
-//! - [`retry`]: what an entry may run again.
+//! - [`poison`]: requests that crash what runs them;
+//! - [`capacity`]: how much of the hardware has to be switched on;
+//! - [`fallback`]: what an entry does without a placer in reach;
+//! - [`floor`]: the entry's own guard of the floor;
+//! - [`retry`] and [`hedge`]: what an entry may run again.
 
+pub mod capacity;
+pub mod fallback;
+pub mod floor;
+pub mod hedge;
 pub mod placer;
+pub mod poison;
 pub mod retry;
--- a/crates/decide/src/placer.rs
+++ b/crates/decide/src/placer.rs
@@ -3,17 +3,22 @@
 //! The placer is a value that turns events into actions. Whoever drives it carries the actions out:
 //! it sends the grants and refusals, and writes a log line for each decision.
 
+mod action;
+
+pub use action::{AskId, EjectReason, GrantReason, HeldGrant, PlacerAction, ReturnReason};
+
 use std::collections::BTreeMap;
 
+use crate::poison::PoisonList;
 use model::{
     announcement::{UpstreamAnnouncement, UpstreamState},
     call::{CallRefusal, RefusalReason},
     config::ServiceRule,
     moment::Moment,
     names::{MemberName, ServiceName, UpstreamName},
-    numbers::{CallNumber, GrantNumber, PlacerEpoch},
+    numbers::{GrantNumber, PlacerEpoch},
     report::{CapacityRow, PlacerRow, UpstreamHealth},
-    slot::{GrantId, SlotAsk, SlotGrant, SlotSettle},
+    slot::{GrantId, RequestFingerprint, SlotAsk, SlotGrant, SlotSettle},
 };
 use std::time::Duration;
 
@@ -34,43 +39,6 @@
     pub seed: u64,
 }
 
-/// Names one ask: the entry, its call and the try.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct AskId {
-    /// The entry's VM.
-    pub entry: MemberName,
-    /// The call's number there.
-    pub call: CallNumber,
-    /// The try.
-    pub attempt: u32,
-}
-
-/// What the driver of a placer has to carry out.
-#[derive(Clone, Debug, PartialEq)]
-pub enum PlacerAction {
-    /// Send a grant.
-    Grant {
-        /// To whom.
-        to: AskId,
-        /// The grant.
-        grant: SlotGrant,
-    },
-    /// Send a refusal.
-    Refuse {
-        /// To whom.
-        to: AskId,
-        /// The refusal.
-        refusal: CallRefusal,
-    },
-    /// Take a grant back unless its call has begun.
-    Revoke {
-        /// The entry's VM.
-        entry: MemberName,
-        /// The grant.
-        id: GrantId,
-    },
-}
-
 #[derive(Debug)]
 struct TargetState {
     announcement: UpstreamAnnouncement,
@@ -101,6 +69,9 @@
     granted: BTreeMap<GrantNumber, (MemberName, UpstreamName)>,
     last: GrantNumber,
     refused: u64,
+    /// Grants of earlier epochs that entries still hold.
+    recounted: BTreeMap<GrantId, (MemberName, UpstreamName, Moment)>,
+    poison: PoisonList,
 }
 
 impl ServicePlacer {
@@ -113,6 +84,8 @@
             granted: BTreeMap::new(),
             last: GrantNumber(0),
             refused: 0,
+            recounted: BTreeMap::new(),
+            poison: PoisonList::default(),
         }
     }
 
@@ -121,6 +94,42 @@
         self.settings.rule = rule.clone();
     }
 
+    /// Counts grants of earlier epochs that an entry still holds.
+    pub fn recount(
+        &mut self,
+        entry: &MemberName,
+        held: &[HeldGrant],
+        now: Moment,
+        _actions: &mut Vec<PlacerAction>,
+    ) {
+        for grant in held {
+            let until = now + Duration::from_millis(u64::from(grant.left_ms));
+            let value = (entry.clone(), grant.upstream.clone(), until);
+            if self.recounted.insert(grant.id.clone(), value).is_none()
+                && let Some(target) = self.targets.get_mut(&grant.upstream)
+            {
+                target.busy += 1;
+            }
+        }
+    }
+
+    /// Ends the recount: each living entry has told what it holds.
+    pub fn finish_recount(&mut self, now: Moment, actions: &mut Vec<PlacerAction>) {
+        self.place(now, actions);
+    }
+
+    /// Drops the queued asks of a lost entry. Its grants are held until their calls' deadlines, for a
+    /// bounded time, since its calls may still run.
+    pub fn lose_entry(&mut self, entry: &MemberName, now: Moment, actions: &mut Vec<PlacerAction>) {
+        self.queue.retain(|(_, id), _| id.entry != *entry);
+        self.place(now, actions);
+    }
+
+    /// Refuses a request until a moment, as another placer decided.
+    pub fn poison(&mut self, fingerprint: RequestFingerprint, until: Moment) {
+        self.poison.add(fingerprint, until);
+    }
+
     /// Takes an announcement.
     pub fn announce(
         &mut self,
@@ -156,6 +165,9 @@
         actions: &mut Vec<PlacerAction>,
     ) {
         let id = AskId { entry, call: ask.call, attempt: ask.attempt };
+        if self.poison.refused_until(ask.fingerprint, now).is_some() {
+            return self.refuse(id, RefusalReason::Poisonous, actions);
+        }
         if self.targets.is_empty() {
             return self.refuse(id, RefusalReason::NoUpstream, actions);
         }
@@ -174,10 +186,14 @@
 
     /// Ends a grant. A grant of another epoch, or one that has ended, changes nothing.
     pub fn settle(&mut self, settle: &SlotSettle, now: Moment, actions: &mut Vec<PlacerAction>) {
-        if settle.id.epoch != self.settings.epoch {
-            return;
-        }
-        let Some((_, upstream)) = self.granted.remove(&settle.id.number) else { return };
+        let own =
+            settle.id.epoch == self.settings.epoch && settle.id.granter == self.settings.member;
+        let ended = if own {
+            self.granted.remove(&settle.id.number).map(|(_, upstream)| upstream)
+        } else {
+            self.recounted.remove(&settle.id).map(|(_, upstream, _)| upstream)
+        };
+        let Some(upstream) = ended else { return };
         if let Some(target) = self.targets.get_mut(&upstream) {
             target.busy = target.busy.saturating_sub(1);
         }
@@ -287,13 +303,21 @@
             trial: false,
             hedge_after_us: 0,
         };
-        actions.push(PlacerAction::Grant { to: waiting.id.clone(), grant });
+        actions.push(PlacerAction::Grant {
+            to: waiting.id.clone(),
+            service: self.settings.service.clone(),
+            grant,
+            reason: GrantReason::SameDomain,
+            queued: self.queue.len() as u32,
+        });
     }
 
     fn refuse(&mut self, to: AskId, reason: RefusalReason, actions: &mut Vec<PlacerAction>) {
         self.refused += 1;
         let refusal = CallRefusal::passing(reason, 1_000);
-        actions.push(PlacerAction::Refuse { to, refusal });
+        let service = self.settings.service.clone();
+        let queued = self.queue.len() as u32;
+        actions.push(PlacerAction::Refuse { to, service, refusal, queued });
     }
 
     fn revoke(&self, name: &UpstreamName, actions: &mut Vec<PlacerAction>) {
--- a/crates/fleet/src/driver.rs
+++ b/crates/fleet/src/driver.rs
@@ -297,12 +297,15 @@
     fn carry_out(&mut self) {
         for action in std::mem::take(&mut self.actions) {
             match action {
-                PlacerAction::Grant { to, grant } => self.reply(&to, Ok(grant)),
-                PlacerAction::Refuse { to, refusal } => {
+                PlacerAction::Grant { to, grant, .. } => self.reply(&to, Ok(grant)),
+                PlacerAction::Refuse { to, refusal, .. } => {
                     info!(entry:% = to.entry, call:% = to.call, reason:% = refusal.reason; "refused");
                     self.reply(&to, Err(AskFault::Refused { refusal }));
                 }
-                PlacerAction::Revoke { .. } => (),
+                PlacerAction::Revoke { .. }
+                | PlacerAction::Eject { .. }
+                | PlacerAction::Return { .. }
+                | PlacerAction::Poison { .. } => (),
             }
         }
     }
