fleet: a proved hello before each connection's first message, silent links replaced

Cause: any process that reached the fleet's port could gossip, draw grants or close claims; a connection that went silent was used until its calls' deadlines.

Change: version and HMAC-SHA256 challenge-response over two fresh nonces, both directions, before tarpc; hello messages of at most 128 bytes, 256 unproved connections at most. One connection for each peer (one attempt at a time), a ping where something waits 500 ms without any answer, replacement after one more second while other links work, idle links closed after 60 s.

--- a/crates/fleet/src/driver.rs
+++ b/crates/fleet/src/driver.rs
@@ -10,12 +10,12 @@
 
 use crate::{
     directory::UpstreamDirectory,
-    link::{PeerLinks, within},
+    link::PeerLinks,
     membership::MemberTable,
     server::{PeerServer, serve},
     settings::FleetSettings,
     view::{FleetView, PlacerCandidate},
-    wire::{AskFault, GossipMessage, MemberRecord},
+    wire::{AskFault, FleetPeerClient, GossipMessage, MemberRecord},
 };
 use arc_swap::ArcSwap;
 use control::handle::ControlHandle;
@@ -161,21 +161,24 @@
     let (drain, watch_drain) = watch::channel(false);
     let shared = SharedState {
         inbox: DriverInbox(inbox),
-        links: PeerLinks::new(runtime.handle().clone()),
+        links: PeerLinks::new(runtime.handle().clone(), settings.secret.clone()),
         view: Arc::default(),
         config: Arc::new(ArcSwap::from_pointee(FleetConfig::default())),
         changed: watch_changed,
         drain: watch_drain,
         address,
     };
+    let secret = settings.secret.clone();
     let driver = FleetDriver::open(settings, shared.clone(), changed, drain, control.clone());
     let server = PeerServer { inbox: shared.inbox.clone(), control };
+    let links = shared.links.clone();
     let run = move || {
         runtime.block_on(async move {
             match TcpListener::from_std(listener) {
-                Ok(listener) => drop(tokio::spawn(serve(listener, server))),
+                Ok(listener) => drop(tokio::spawn(serve(listener, secret, server))),
                 Err(error) => log::error!(error:% = error; "the fleet's port is not served"),
             }
+            tokio::spawn(links.tend());
             driver.run(events).await;
         });
     };
@@ -369,10 +372,11 @@
             let message = self.tell(in_force);
             let (links, inbox) = (self.shared.links.clone(), self.shared.inbox.clone());
             tokio::spawn(async move {
-                let Ok(client) = links.to(address).await else { return };
-                match client.gossip(within(GOSSIP_TIMEOUT), message).await {
-                    Ok(answer) => drop(inbox.query(|driver| driver.learn(answer)).await),
-                    Err(_) => links.forget(address),
+                let call = |client: FleetPeerClient, context| async move {
+                    client.gossip(context, message).await
+                };
+                if let Ok(answer) = links.call(address, GOSSIP_TIMEOUT, call).await {
+                    inbox.query(|driver| driver.learn(answer)).await;
                 }
             });
         }
--- a/crates/fleet/src/handle.rs
+++ b/crates/fleet/src/handle.rs
@@ -4,7 +4,6 @@
 
 use crate::{
     driver::{DriverEvent, FleetError, SharedState, spawn},
-    link::within,
     settings::FleetSettings,
     wire::{AskFault, FleetPeerClient},
 };
@@ -25,6 +24,7 @@
     report::{CapacityRow, MemberRow, PlacerRow, StatusReport, UpstreamRow},
     slot::{SlotAsk, SlotGrant, SlotSettle},
 };
+use tarpc::{client::RpcError, context::Context};
 use tokio::sync::watch;
 
 /// How long a control operation may take in all.
@@ -86,16 +86,17 @@
     }
 
     /// Asks the replicas one after the other until one answers.
-    async fn on_replica<T, F>(&self, call: impl Fn(FleetPeerClient) -> F) -> Option<T>
+    async fn on_replica<T, F>(
+        &self,
+        span: Duration,
+        call: impl Fn(FleetPeerClient, Context) -> F,
+    ) -> Option<T>
     where
-        F: Future<Output = Result<Result<T, ControlFault>, tarpc::client::RpcError>>,
+        F: Future<Output = Result<Result<T, ControlFault>, RpcError>>,
     {
         for address in self.replica_addresses().await {
-            let Ok(client) = self.shared.links.to(address).await else { continue };
-            match call(client).await {
-                Ok(Ok(answer)) => return Some(answer),
-                Ok(Err(_)) => (),
-                Err(_) => self.shared.links.forget(address),
+            if let Ok(Ok(answer)) = self.shared.links.call(address, span, &call).await {
+                return Some(answer);
             }
         }
         None
@@ -110,10 +111,12 @@
         let answer = if placer.member == self.member {
             self.shared.inbox.ask(self.member.clone(), ask).await
         } else {
-            let client = self.shared.links.to(placer.address).await.map_err(|_| refused)?;
             let left = Duration::from_millis(u64::from(ask.within_ms));
-            let answer = client.ask(within(left), self.member.clone(), ask).await;
-            answer.map_err(|_| refused)?
+            let entry = self.member.clone();
+            let call = |client: FleetPeerClient, context| async move {
+                client.ask(context, entry, ask).await
+            };
+            self.shared.links.call(placer.address, left, call).await.map_err(|_| refused)?
         };
         answer.map_err(|fault| match fault {
             AskFault::Refused { refusal } => refusal,
@@ -134,9 +137,10 @@
         let Some(address) = granter.map(|one| one.address) else { return };
         let links = self.shared.links.clone();
         tokio::spawn(async move {
-            if let Ok(client) = links.to(address).await {
-                let _ = client.settle(within(CONTROL_TIMEOUT), vec![settle]).await;
-            }
+            let call = |client: FleetPeerClient, context| async move {
+                client.settle(context, vec![settle]).await
+            };
+            let _ = links.call(address, CONTROL_TIMEOUT, call).await;
         });
     }
 }
@@ -144,21 +148,21 @@
 impl LedgerPort for FleetNode {
     async fn claim(&self, claim: KeyClaim) -> Result<ClaimAnswer, LedgerFault> {
         let left = Duration::from_millis(u64::from(claim.within_ms));
-        let call = |client: FleetPeerClient| {
+        let call = |client: FleetPeerClient, context| {
             let claim = claim.clone();
-            async move { client.claim(within(left), claim).await }
+            async move { client.claim(context, claim).await }
         };
         let group = GroupNumber::FIRST_LEDGER;
-        self.on_replica(call).await.ok_or(LedgerFault::NoMajority { group })
+        self.on_replica(left, call).await.ok_or(LedgerFault::NoMajority { group })
     }
 
     async fn close(&self, close: KeyClose) -> Result<(), LedgerFault> {
-        let call = |client: FleetPeerClient| {
+        let call = |client: FleetPeerClient, context| {
             let close = close.clone();
-            async move { client.close(within(CONTROL_TIMEOUT), close).await }
+            async move { client.close(context, close).await }
         };
         let group = GroupNumber::FIRST_LEDGER;
-        self.on_replica(call).await.ok_or(LedgerFault::NoMajority { group })
+        self.on_replica(CONTROL_TIMEOUT, call).await.ok_or(LedgerFault::NoMajority { group })
     }
 }
 
@@ -170,12 +174,12 @@
 
 impl OperatorPort for FleetNode {
     async fn submit(&self, patch: ConfigPatch) -> Result<PatchResult, ControlFault> {
-        let call = |client: FleetPeerClient| {
+        let call = |client: FleetPeerClient, context| {
             let patch = patch.clone();
-            async move { client.submit(within(CONTROL_TIMEOUT), patch).await }
+            async move { client.submit(context, patch).await }
         };
         let group = GroupNumber::CONFIG;
-        self.on_replica(call).await.ok_or(ControlFault::Unavailable { group })
+        self.on_replica(CONTROL_TIMEOUT, call).await.ok_or(ControlFault::Unavailable { group })
     }
 
     fn config(&self) -> Arc<FleetConfig> {
@@ -194,19 +198,18 @@
         after: ConfigNumber,
         limit: u32,
     ) -> Result<Vec<PatchRecord>, ControlFault> {
-        let call = |client: FleetPeerClient| async move {
-            client.history(within(CONTROL_TIMEOUT), after, limit).await
+        let call = |client: FleetPeerClient, context| async move {
+            client.history(context, after, limit).await
         };
         let group = GroupNumber::CONFIG;
-        self.on_replica(call).await.ok_or(ControlFault::Unavailable { group })
+        self.on_replica(CONTROL_TIMEOUT, call).await.ok_or(ControlFault::Unavailable { group })
     }
 
     async fn patch(&self, id: PatchId) -> Result<Option<PatchResult>, ControlFault> {
-        let call = |client: FleetPeerClient| async move {
-            client.patch(within(CONTROL_TIMEOUT), id).await
-        };
+        let call =
+            |client: FleetPeerClient, context| async move { client.patch(context, id).await };
         let group = GroupNumber::CONFIG;
-        self.on_replica(call).await.ok_or(ControlFault::Unavailable { group })
+        self.on_replica(CONTROL_TIMEOUT, call).await.ok_or(ControlFault::Unavailable { group })
     }
 
     async fn status(&self) -> StatusReport {
@@ -286,8 +289,9 @@
         let row = rows.iter().find(|row| row.member == member).ok_or_else(unknown)?;
         let unreachable =
             || ControlFault::Refused { reason: format!("VM {member} was not reached") };
-        let client = self.shared.links.to(row.address).await.map_err(|_| unreachable())?;
-        client.drain(within(CONTROL_TIMEOUT)).await.map_err(|_| unreachable())
+        let call = |client: FleetPeerClient, context| async move { client.drain(context).await };
+        let called = self.shared.links.call(row.address, CONTROL_TIMEOUT, call).await;
+        called.map_err(|_| unreachable())
     }
 
     async fn change_replicas(
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -1,9 +1,10 @@
 //! The end of a connection that answers.
 
-use std::time::Duration;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
     driver::{DriverEvent, DriverInbox},
+    hello,
     link::transport,
     wire::{AskFault, FleetPeer, GossipMessage},
 };
@@ -15,13 +16,18 @@
     numbers::{CallNumber, ConfigNumber, GroupNumber},
     patch::{ConfigPatch, PatchId, PatchRecord, PatchResult},
     ports::ControlFault,
+    secret::SharedSecret,
     slot::{SlotAsk, SlotGrant, SlotSettle},
 };
 use tarpc::{
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    time::timeout,
+};
 
 /// How long a replica is waited for. A majority that is there answers in a few milliseconds.
 const REPLICA_WITHIN: Duration = Duration::from_secs(1);
@@ -104,13 +110,33 @@
     async fn drain(self, _: Context) {
         self.inbox.send(DriverEvent::Drain);
     }
+
+    async fn ping(self, _: Context) {}
 }
 
-pub(crate) async fn serve(listener: TcpListener, server: PeerServer) {
+/// How many connections may be in their hello at once. A flood of connections that never prove
+/// themselves holds no more of this process than that.
+const HELLOS_LIMIT: usize = 256;
+
+/// After which time without a message a connection is closed. The opening end closes one that it
+/// does not use long before; what is left then is a connection whose other end has gone.
+const SERVED_IDLE_AFTER: Duration = Duration::from_secs(180);
+
+pub(crate) async fn serve(listener: TcpListener, secret: SharedSecret, server: PeerServer) {
+    let hellos = Arc::new(Semaphore::new(HELLOS_LIMIT));
+    let secret = Arc::new(secret);
     loop {
+        // The semaphore is never closed.
+        let Ok(permit) = hellos.clone().acquire_owned().await else { return };
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_link(stream, server.clone()));
+            Ok((stream, peer)) => {
+                let (secret, server) = (secret.clone(), server.clone());
+                tokio::spawn(async move {
+                    if let Some(stream) = greet(stream, peer, &secret).await {
+                        drop(permit);
+                        serve_link(stream, server).await;
+                    }
+                });
             }
             Err(error) => {
                 log::warn!(error:% = error; "cannot accept a peer's connection");
@@ -120,9 +146,26 @@
     }
 }
 
-async fn serve_link(stream: TcpStream, server: PeerServer) {
+async fn greet(
+    mut stream: TcpStream,
+    peer: SocketAddr,
+    secret: &SharedSecret,
+) -> Option<TcpStream> {
     // Without it a grant can wait 40 ms for the acknowledgement of the message before.
     let _ = stream.set_nodelay(true);
+    match hello::accept(&mut stream, secret).await {
+        Ok(()) => Some(stream),
+        Err(error) => {
+            log::warn!(peer:% = peer, error:% = error; "a connection was refused");
+            None
+        }
+    }
+}
+
+async fn serve_link(stream: TcpStream, server: PeerServer) {
     let requests = BaseChannel::with_defaults(transport(stream)).execute(server.serve());
-    requests.for_each(|answer| async move { drop(tokio::spawn(answer)) }).await;
+    let mut requests = std::pin::pin!(requests);
+    while let Ok(Some(answer)) = timeout(SERVED_IDLE_AFTER, requests.next()).await {
+        tokio::spawn(answer);
+    }
 }
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -17,7 +17,7 @@
 use snafu::Snafu;
 
 /// The version of the messages. Peers of another version are refused.
-pub const WIRE_VERSION: u32 = 1;
+pub const WIRE_VERSION: u32 = 2;
 
 /// The largest message accepted, in bytes.
 pub const MESSAGE_LIMIT: usize = 16 * 1024 * 1024;
@@ -103,4 +103,6 @@
     async fn close(close: KeyClose) -> Result<(), ControlFault>;
     /// Begins the planned stop of the asked VM.
     async fn drain();
+    /// Answers at once, to prove that the connection works.
+    async fn ping();
 }
