operator: every operation of OperatorPort as a page, one shape of errors

Cause: only a few GET pages and POST /patches stood, errors were poem's texts, nothing was bounded. Change: pages for patches (submit, check, show), configuration (show, history, watch by long poll of at most 25 s), services, drain, control; each failure answers {"error": {code, text}}; bodies bounded in size and time, connections in number and silence; a stale base shows the newer changes of the same entries; a floor above the announced slots is a warning. PatchAnswer::Refused gains code and text, which trial prints now. A head that drips in byte by byte is bounded only by the number of connections: poem offers no time limit for heads.

--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -1,17 +1,24 @@
-//! Binds the operators' interface and guards it by their secret.
+//! Binds the operators' interface, bounds it and guards it by their secret.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use crate::pages::pages;
+use crate::{answers::PageFault, bounded::BoundedAcceptor, pages::pages};
 use model::{ports::OperatorPort, secret::SharedSecret};
 use poem::{
-    Endpoint, EndpointExt, Request, Response, Result, Server,
-    http::{StatusCode, header},
+    Endpoint, EndpointExt, Request, Result, Server,
+    http::header,
     listener::{Acceptor, Listener, TcpListener},
 };
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::task::JoinHandle;
 
+/// How many connections are held at a time. Operators are a few people and their scripts.
+pub const CONNECTIONS_LIMIT: usize = 256;
+
+/// After which time without a byte in either direction a connection is closed. It is longer than
+/// the longest wait of a watch.
+pub const IDLE_LIMIT: Duration = Duration::from_secs(60);
+
 /// Why the interface could not be opened.
 #[derive(Debug, Snafu)]
 pub enum OperatorError {
@@ -51,8 +58,10 @@
         let bound = acceptor.local_addr();
         let address = bound.first().and_then(|a| a.as_socket_addr()).copied();
         let address = address.context(AddressSnafu)?;
-        let endpoint = guarded(pages(port), secret);
-        let task = tokio::spawn(Server::new_with_acceptor(acceptor).run(endpoint));
+        let endpoint = guarded(pages(&port), secret);
+        let acceptor = BoundedAcceptor::new(acceptor, CONNECTIONS_LIMIT);
+        let server = Server::new_with_acceptor(acceptor).idle_timeout(IDLE_LIMIT);
+        let task = tokio::spawn(server.run(endpoint));
         Ok(Self { address, task })
     }
 
@@ -76,9 +85,9 @@
             if proved {
                 return Ok(pages.get_response(request).await);
             }
-            log::warn!(peer:% = request.remote_addr(); "operator refused: wrong or missing secret");
-            let text = "send the operators' secret as a bearer token\n";
-            Ok(Response::builder().status(StatusCode::UNAUTHORIZED).body(text))
+            let (peer, path) = (request.remote_addr(), request.uri().path());
+            log::warn!(peer:%, path; "operator refused: wrong or missing secret");
+            Ok(PageFault::Unauthorized.into_response())
         }
     })
 }
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -228,8 +228,8 @@
             let answer = self.submit(&patch).await?;
             match answer {
                 Some(PatchAnswer::Accepted { .. }) => return Ok(()),
-                Some(PatchAnswer::Refused { refusal }) => {
-                    return PatchSnafu { text: refusal.to_string() }.fail();
+                Some(PatchAnswer::Refused { text, .. }) => {
+                    return PatchSnafu { text }.fail();
                 }
                 None => (),
             }
