--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,21 +1,17 @@
 //! `coltsfootcrank`: the operators' command line.
 
-use std::{env, process::ExitCode};
+use std::{env, io, process::ExitCode};
 
-mod args;
-mod client;
-mod run;
+use ctl::{
+    args::Coltsfootcrank,
+    fault::{CtlError, SystemSnafu},
+    run::run,
+};
+use snafu::ResultExt;
 
 fn main() -> ExitCode {
-    let args = args::Coltsfootcrank::from_env_or_exit();
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("coltsfootcrank: cannot start: {error}");
-            return ExitCode::from(run::EXIT_SYSTEM);
-        }
-    };
-    match runtime.block_on(run::run(args, |name| env::var(name).ok())) {
+    let args = Coltsfootcrank::from_env_or_exit();
+    match start(args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("coltsfootcrank: {error}");
@@ -23,3 +19,9 @@
         }
     }
 }
+
+fn start(args: Coltsfootcrank) -> Result<(), CtlError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.context(SystemSnafu { doing: "start" })?;
+    runtime.block_on(run(args, |name| env::var(name).ok(), &mut io::stdout()))
+}
