control: replicated engine, states, files and driver (untested yet beyond the build)

Cause: the handle kept its state in memory only. Change: Raft rules as a value (replica), configuration and ledger states, checksummed files, one thread per VM.

--- /dev/null
+++ b/crates/control/benches/bounds_control.rs
@@ -0,0 +1,3 @@
+//! Bounds of the replicated state.
+
+fn main() {}
--- a/crates/control/src/fault.rs
+++ b/crates/control/src/fault.rs
@@ -127,13 +127,22 @@
         /// What was found.
         found: DamageKind,
     },
+    /// A committed entry or a snapshot holds what this version does not know.
+    #[snafu(display(
+        "group {group} holds what this version does not know; start a version at least as new as \
+         the other control VMs'"
+    ))]
+    Undecodable {
+        /// The group.
+        group: GroupNumber,
+    },
     /// A thread could not be started.
     #[snafu(display("cannot start the thread of the replicas: {source}"))]
     Thread {
         /// What the system said.
         source: io::Error,
     },
-    /// The member is not one of its own founders' list and the list is empty.
+    /// The list of founders is empty.
     #[snafu(display("the list of founders is empty; name at least one VM"))]
     NoFounders,
     /// The folder belongs to another VM.
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -1,48 +1,67 @@
 //! How the rest of the process reaches the replicas of its VM.
 
 use std::{
-    collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc as std_mpsc,
+    },
+    thread,
+    time::{Duration, Instant},
 };
 
 use crate::{
-    fault::{ControlError, ReplicaFault},
-    packet::ReplicaPacket,
+    disk::{folder::DataFolder, store::StoreOpener},
+    driver::{DriverAsk, DriverEvent, DriverView, INBOX_LIMIT, ReplicaDriver},
+    fault::{COME_BACK, ControlError, RefusalReason, ReplicaFault, ThreadSnafu},
+    group::{GroupAnswer, GroupRequest},
+    packet::{PACKET_LIMIT, ReplicaPacket},
     settings::ReplicaSettings,
+    state::{
+        command::{CloseAnswer, StateAnswer, StateCommand},
+        config::ConfigState,
+    },
 };
+use arc_swap::ArcSwap;
 use model::{
     config::FleetConfig,
-    ledger::{CallKey, ClaimAnswer, KeyClaim, KeyClose, RunEnd},
-    names::MemberName,
-    numbers::{AttemptNumber, ConfigNumber, GroupNumber},
+    ledger::{CallKey, ClaimAnswer, KeyClaim, KeyClose},
+    numbers::{ConfigNumber, GroupNumber},
     patch::{ConfigDelta, ConfigPatch, PatchId, PatchRecord, PatchResult},
     ports::ReplicaChange,
-    report::{GroupRow, ReplicaRole},
+    report::GroupRow,
 };
-use tokio::sync::{mpsc, watch};
+use snafu::{ResultExt, ensure};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::timeout,
+};
+
+/// How many packets may wait to be carried. What comes beyond is lost, and sent again later.
+const PACKETS_LIMIT: usize = 4_096;
 
-#[derive(Debug)]
-struct KeyState {
-    claim: KeyClaim,
-    attempt: AttemptNumber,
-    end: Option<RunEnd>,
+/// The replicas of this VM. Dropping the last clone ends them at once, as a crash would.
+#[derive(Clone)]
+pub struct ControlHandle {
+    inner: Arc<HandleInner>,
 }
 
-#[derive(Debug, Default)]
-struct MemoryState {
-    history: Vec<PatchRecord>,
-    results: HashMap<PatchId, PatchResult>,
-    keys: HashMap<CallKey, KeyState>,
+struct HandleInner {
+    events: std_mpsc::SyncSender<DriverEvent>,
+    view: Arc<DriverView>,
 }
 
-/// The replicas of this VM.
-#[derive(Clone, Debug)]
-pub struct ControlHandle {
-    member: MemberName,
-    state: Arc<Mutex<MemoryState>>,
-    config: Arc<watch::Sender<FleetConfig>>,
-    _packets: mpsc::Sender<ReplicaPacket>,
+impl Drop for HandleInner {
+    fn drop(&mut self) {
+        self.view.stop.store(true, Ordering::Release);
+    }
+}
+
+impl fmt::Debug for ControlHandle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ControlHandle").finish_non_exhaustive()
+    }
 }
 
 /// Returns the ledger group of a key.
@@ -59,56 +78,77 @@
 impl ControlHandle {
     /// Opens the replicas of this VM. What comes out of the receiver must be carried to its VM.
     ///
+    /// Blocks while the files are read, and up to two seconds while another process holds the folder.
+    ///
     /// # Errors
     ///
     /// Fails when the data folder is in use, damaged or not accessible.
     pub fn open(
         settings: ReplicaSettings,
     ) -> Result<(Self, mpsc::Receiver<ReplicaPacket>), ControlError> {
-        let (config, _) = watch::channel(FleetConfig::default());
-        let (packets, receiver) = mpsc::channel(1_024);
-        let handle = Self {
-            member: settings.member,
-            state: Arc::default(),
-            config: Arc::new(config),
-            _packets: packets,
-        };
-        Ok((handle, receiver))
+        let folder = DataFolder::open(&settings.folder, &settings.member)?;
+        Self::open_with(settings, Box::new(folder))
     }
 
-    /// Takes a packet from another VM. Never blocks.
+    /// Opens the replicas of this VM on other stores than the data folder's.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a store does.
+    pub fn open_with(
+        mut settings: ReplicaSettings,
+        opener: Box<dyn StoreOpener>,
+    ) -> Result<(Self, mpsc::Receiver<ReplicaPacket>), ControlError> {
+        ensure!(!settings.founders.is_empty(), crate::fault::NoFoundersSnafu);
+        settings.founders.sort();
+        settings.founders.dedup();
+        let (packets, carried) = mpsc::channel(PACKETS_LIMIT);
+        let (events, inbox) = std_mpsc::sync_channel(INBOX_LIMIT);
+        let view = Arc::new(DriverView {
+            config: watch::channel(FleetConfig::default()).0,
+            state: ArcSwap::from_pointee(ConfigState::default()),
+            rows: ArcSwap::default(),
+            failure: watch::channel(None).0,
+            stop: AtomicBool::new(false),
+        });
+        let driver = ReplicaDriver::open(settings, opener, packets, view.clone())?;
+        let run = move || driver.run(&inbox);
+        thread::Builder::new().name("replicas".to_owned()).spawn(run).context(ThreadSnafu)?;
+        Ok((Self { inner: Arc::new(HandleInner { events, view }) }, carried))
+    }
+
+    /// Takes a packet from another VM. Never blocks; one that finds no room is lost.
     pub fn receive(&self, packet: ReplicaPacket) {
-        drop(packet);
+        if packet.bytes.len() <= PACKET_LIMIT {
+            let _ = self.inner.events.try_send(DriverEvent::Packet(packet));
+        }
     }
 
     /// Watches the committed configuration. Marked as changed when one was recovered from disk.
     pub fn watch_config(&self) -> watch::Receiver<FleetConfig> {
-        self.config.subscribe()
+        let mut receiver = self.inner.view.config.subscribe();
+        if receiver.borrow().number() > ConfigNumber::default() {
+            receiver.mark_changed();
+        }
+        receiver
     }
 
     /// Submits a patch.
     ///
     /// # Errors
     ///
-    /// Fails when it was not known to be accepted or refused within the time given.
+    /// Fails when it was not known to be accepted or refused within the time given. Sending the same
+    /// patch again is safe, to whichever replica.
     pub async fn submit(
         &self,
         patch: ConfigPatch,
-        _within: Duration,
+        within: Duration,
     ) -> Result<PatchResult, ReplicaFault> {
-        let mut state = self.lock();
-        if let Some(first) = state.results.get(&patch.id) {
-            return Ok(first.clone());
+        let request = GroupRequest::Command(StateCommand::Patch(patch));
+        match self.ask(GroupNumber::CONFIG, DriverAsk::Request(request), within).await? {
+            GroupAnswer::State(StateAnswer::Patch(result)) => Ok(result),
+            _ => Err(ReplicaFault::NoMajority),
         }
-        let next = self.config.borrow().apply(&patch);
-        let result = next.map(|next| {
-            let number = next.number();
-            self.config.send_replace(next);
-            state.history.push(PatchRecord { number, patch: patch.clone() });
-            number
-        });
-        state.results.insert(patch.id, result.clone());
-        Ok(result)
     }
 
     /// Returns the number in force, known to be the latest at some time after the question.
@@ -116,8 +156,15 @@
     /// # Errors
     ///
     /// Fails when this replica does not lead or could not prove it in time.
-    pub async fn confirm(&self, _within: Duration) -> Result<ConfigNumber, ReplicaFault> {
-        Ok(self.config.borrow().number())
+    pub async fn confirm(&self, within: Duration) -> Result<ConfigNumber, ReplicaFault> {
+        let asked = Instant::now();
+        let ask = DriverAsk::Request(GroupRequest::Confirm);
+        let answer = self.ask(GroupNumber::CONFIG, ask, within).await?;
+        // The whole process may have been paused between the proof and now.
+        match answer {
+            GroupAnswer::Confirmed(number) if asked.elapsed() <= within => Ok(ConfigNumber(number)),
+            _ => Err(ReplicaFault::NoMajority),
+        }
     }
 
     /// Lists accepted patches after a number, oldest first, as this replica knows them.
@@ -131,12 +178,10 @@
         limit: usize,
         _within: Duration,
     ) -> Result<Vec<PatchRecord>, ReplicaFault> {
-        let state = self.lock();
-        let later = state.history.iter().filter(|record| record.number > after);
-        Ok(later.take(limit).cloned().collect())
+        Ok(self.inner.view.state.load().records_after(after, limit))
     }
 
-    /// Returns the first result of a patch, while it is kept.
+    /// Returns the first result of a patch, while it is kept, as this replica knows it.
     ///
     /// # Errors
     ///
@@ -146,7 +191,7 @@
         id: PatchId,
         _within: Duration,
     ) -> Result<Option<PatchResult>, ReplicaFault> {
-        Ok(self.lock().results.get(&id).cloned())
+        Ok(self.inner.view.state.load().result_of(id))
     }
 
     /// Claims a key.
@@ -156,52 +201,35 @@
     /// Fails when the claim was not durable within the time given; it may still become so.
     pub async fn claim(
         &self,
-        _group: GroupNumber,
+        group: GroupNumber,
         claim: KeyClaim,
-        _within: Duration,
+        within: Duration,
     ) -> Result<ClaimAnswer, ReplicaFault> {
-        let mut state = self.lock();
-        let Some(held) = state.keys.get_mut(&claim.key) else {
-            let attempt = AttemptNumber(1);
-            state.keys.insert(claim.key, KeyState { claim, attempt, end: None });
-            return Ok(ClaimAnswer::Run { attempt });
-        };
-        if held.claim.digest != claim.digest {
-            return Ok(ClaimAnswer::OtherRequest);
+        match self.ask(group, DriverAsk::Claim(claim), within).await? {
+            GroupAnswer::State(StateAnswer::Claim(answer)) => Ok(answer),
+            _ => Err(ReplicaFault::NoMajority),
         }
-        Ok(match &held.end {
-            None if held.claim.claimant == claim.claimant => {
-                ClaimAnswer::Run { attempt: held.attempt }
-            }
-            None => ClaimAnswer::InProgress,
-            Some(RunEnd::Done { answer }) => ClaimAnswer::Done { answer: answer.clone() },
-            Some(RunEnd::Unknown) => ClaimAnswer::Unknown,
-            Some(RunEnd::NotRun) => {
-                let attempt = held.attempt.next();
-                *held = KeyState { claim, attempt, end: None };
-                ClaimAnswer::Run { attempt }
-            }
-        })
     }
 
-    /// Closes a claim. One of an earlier attempt changes nothing.
+    /// Closes a claim.
     ///
     /// # Errors
     ///
-    /// Fails when the end was not durable within the time given, or is refused for good.
+    /// Fails when the end was not durable within the time given. Refused for good when it is of an
+    /// earlier attempt or came too late.
     pub async fn close(
         &self,
-        _group: GroupNumber,
+        group: GroupNumber,
         close: KeyClose,
-        _within: Duration,
+        within: Duration,
     ) -> Result<(), ReplicaFault> {
-        if let Some(held) = self.lock().keys.get_mut(&close.key)
-            && held.attempt == close.attempt
-            && held.end.is_none()
-        {
-            held.end = Some(close.end);
+        match self.ask(group, DriverAsk::Close(close), within).await? {
+            GroupAnswer::State(StateAnswer::Close(CloseAnswer::Closed)) => Ok(()),
+            GroupAnswer::State(StateAnswer::Close(CloseAnswer::Refused)) => {
+                Err(ReplicaFault::Refused { reason: RefusalReason::OldAttempt })
+            }
+            _ => Err(ReplicaFault::NoMajority),
         }
-        Ok(())
     }
 
     /// Changes the replicas of a group, one at a time.
@@ -211,11 +239,12 @@
     /// Fails when the change was not done within the time given; it may still become so.
     pub async fn change_replicas(
         &self,
-        _group: GroupNumber,
-        _change: ReplicaChange,
-        _within: Duration,
+        group: GroupNumber,
+        change: ReplicaChange,
+        within: Duration,
     ) -> Result<(), ReplicaFault> {
-        Err(ReplicaFault::NoMajority)
+        let ask = DriverAsk::Request(GroupRequest::Change(change));
+        self.ask(group, ask, within).await.map(drop)
     }
 
     /// Writes a snapshot of this VM's replica and cuts its log. Returns the index that it covers.
@@ -225,10 +254,13 @@
     /// Fails when the VM holds no replica of the group or the disk has no room.
     pub async fn snapshot(
         &self,
-        _group: GroupNumber,
-        _within: Duration,
+        group: GroupNumber,
+        within: Duration,
     ) -> Result<u64, ReplicaFault> {
-        Ok(0)
+        match self.ask(group, DriverAsk::Snapshot, within).await? {
+            GroupAnswer::Confirmed(index) => Ok(index),
+            _ => Err(ReplicaFault::NoMajority),
+        }
     }
 
     /// Moves each leadership of this VM to a follower that has caught up, before a planned stop.
@@ -236,36 +268,57 @@
     /// # Errors
     ///
     /// Fails when there is no such follower or it did not take over in time.
-    pub async fn hand_over(&self, _within: Duration) -> Result<(), ReplicaFault> {
+    pub async fn hand_over(&self, within: Duration) -> Result<(), ReplicaFault> {
+        let until = Instant::now() + within;
+        for row in self.rows() {
+            let left = until.saturating_duration_since(Instant::now());
+            self.ask(row.group, DriverAsk::Request(GroupRequest::HandOver), left).await?;
+        }
         Ok(())
     }
 
     /// Lists the differences from a number to the present one. `None` where the history does not
     /// reach back that far, or there are more than `limit`.
     pub fn deltas_since(&self, number: ConfigNumber, limit: usize) -> Option<Vec<ConfigDelta>> {
-        (number == self.config.borrow().number() && limit > 0).then(Vec::new)
+        self.inner.view.state.load().deltas_since(number, limit)
     }
 
     /// Lists the groups, as this VM sees them.
     pub fn rows(&self) -> Vec<GroupRow> {
-        let row = |group| GroupRow {
-            group,
-            role: ReplicaRole::Leader,
-            term: 1,
-            leader: Some(self.member.clone()),
-            committed: self.config.borrow().number().0,
-            voters: vec![self.member.clone()],
-            learners: Vec::new(),
-        };
-        vec![row(GroupNumber::CONFIG), row(GroupNumber::FIRST_LEDGER)]
+        self.inner.view.rows.load().as_ref().clone()
     }
 
-    /// Waits until the replicas had to end: a disk that cannot be trusted any more.
+    /// Waits until the replicas had to end: a disk that cannot be trusted any more. The process should
+    /// end then, and read back what is really on the disk when it starts again.
     pub async fn failed(&self) -> Arc<ControlError> {
-        std::future::pending().await
+        let mut failure = self.inner.view.failure.subscribe();
+        let failed = failure.wait_for(Option::is_some).await;
+        let failed = failed.ok().and_then(|failure| failure.clone());
+        failed.unwrap_or_else(|| unreachable!("the sender lives as long as this handle"))
     }
 
-    fn lock(&self) -> MutexGuard<'_, MemoryState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    async fn ask(
+        &self,
+        group: GroupNumber,
+        ask: DriverAsk,
+        within: Duration,
+    ) -> Result<GroupAnswer, ReplicaFault> {
+        let (answer, end) = oneshot::channel();
+        let event = DriverEvent::Ask { group, ask, asked: Instant::now(), answer };
+        match self.inner.events.try_send(event) {
+            Ok(()) => (),
+            Err(std_mpsc::TrySendError::Disconnected(_)) => return Err(ReplicaFault::Stopped),
+            Err(std_mpsc::TrySendError::Full(_)) => {
+                let again_ms = u32::try_from(COME_BACK.as_millis()).unwrap_or(u32::MAX);
+                return Err(ReplicaFault::Refused {
+                    reason: RefusalReason::Overloaded { again_ms },
+                });
+            }
+        }
+        match timeout(within, end).await {
+            Ok(Ok(end)) => end,
+            Ok(Err(_)) => Err(ReplicaFault::Stopped),
+            Err(_) => Err(ReplicaFault::NoMajority),
+        }
     }
 }
--- /dev/null
+++ b/crates/control/src/replica/founding.rs
@@ -0,0 +1,102 @@
+//! How a group comes to be.
+//!
+//! The first of the founders writes the founding record, the first entry of the log, once each other
+//! founder has said that it holds nothing of the group either. The record names each founder's VM and
+//! identity. The others get it like each entry. So:
+//!
+//! - a founder whose disk was replaced hears from the others that the group is founded, and stays
+//!   empty until a replica change adds it;
+//! - a first founder that lost its disk right after it wrote the record founds again only if nobody
+//!   else held an entry, so nothing was ever committed.
+
+use std::time::Duration;
+
+use crate::replica::{
+    core::{OutMessage, ReplicaCore, Sender},
+    entry::{EntryBody, ReplicaSeat, SeatList},
+    log::LogWrite,
+    message::{HelloMessage, ReplicaMessage},
+    timing::{HELLO_FRESH, HELLO_PERIOD},
+};
+use model::{moment::Moment, names::MemberName};
+use xxhash_rust::xxh3::xxh3_64;
+
+impl ReplicaCore {
+    pub(crate) fn tick_unfounded(&mut self, now: Moment) {
+        if now < self.hello_at {
+            return;
+        }
+        self.hello_at = now + HELLO_PERIOD;
+        self.found_when_agreed(now);
+        if self.is_founded() {
+            return;
+        }
+        let message = ReplicaMessage::Hello(self.hello(self.nonce, false));
+        for to in self.founders.iter().filter(|founder| **founder != self.member) {
+            let message = message.clone();
+            self.output.early.push(OutMessage { to: to.clone(), id: None, message });
+        }
+    }
+
+    fn hello(&self, nonce: u64, answer: bool) -> HelloMessage {
+        let founders = founders_digest(&self.founders);
+        HelloMessage { nonce, founders, founded: self.is_founded(), answer }
+    }
+
+    pub(crate) fn on_hello(&mut self, now: Moment, from: &Sender, hello: &HelloMessage) {
+        if !hello.answer {
+            let answer = ReplicaMessage::Hello(self.hello(hello.nonce, true));
+            self.send_early(from, answer);
+            return;
+        }
+        if hello.nonce != self.nonce || self.is_founded() {
+            return;
+        }
+        let alike = hello.founders == founders_digest(&self.founders);
+        if hello.founded || !alike {
+            self.hellos.remove(&from.member);
+            return;
+        }
+        self.hellos.insert(from.member.clone(), (from.id, now));
+        self.found_when_agreed(now);
+    }
+
+    fn found_when_agreed(&mut self, now: Moment) {
+        if self.founders.iter().min() != Some(&self.member) {
+            return;
+        }
+        let fresh = |span: Duration| span < HELLO_FRESH;
+        let seat = |member: &MemberName| {
+            let id = match *member == self.member {
+                true => self.id,
+                false => {
+                    let (id, heard) = self.hellos.get(member)?;
+                    fresh(now.since(*heard)).then_some(*id)?
+                }
+            };
+            Some(ReplicaSeat { member: member.clone(), id, votes: true })
+        };
+        let Some(seats) = self.founders.iter().map(seat).collect::<Option<Vec<_>>>() else {
+            return;
+        };
+        self.found(now, SeatList { seats });
+    }
+
+    fn found(&mut self, now: Moment, list: SeatList) {
+        self.term = self.term.max(1);
+        self.write_vote();
+        let index = self.append_own(EntryBody::Seats(list));
+        debug_assert_eq!(index, 1);
+        debug_assert!(matches!(self.output.writes.last(), Some(LogWrite::Append { .. })));
+        self.become_follower(now, None);
+        if self.seats().quorum() == 1 {
+            self.election_at = now;
+        }
+    }
+}
+
+fn founders_digest(founders: &[MemberName]) -> u64 {
+    let mut names: Vec<&str> = founders.iter().map(MemberName::as_str).collect();
+    names.sort_unstable();
+    xxh3_64(names.join(",").as_bytes())
+}
--- /dev/null
+++ b/crates/control/src/state/mod.rs
@@ -0,0 +1,6 @@
+//! What the groups replicate.
+
+pub mod command;
+pub mod config;
+pub mod ledger;
+pub mod machine;
