--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -88,6 +88,14 @@
     pub(crate) until: Moment,
 }
 
+/// What another founder said last.
+#[derive(Clone, Debug)]
+pub(crate) struct HeardHello {
+    pub(crate) id: ReplicaId,
+    pub(crate) term: u64,
+    pub(crate) heard: Moment,
+}
+
 /// What a replica is at present.
 #[derive(Clone, Debug)]
 pub(crate) enum RoleState {
@@ -124,7 +132,7 @@
     pub(crate) heard: Moment,
     pub(crate) election_at: Moment,
     pub(crate) hello_at: Moment,
-    pub(crate) hellos: BTreeMap<MemberName, (ReplicaId, Moment)>,
+    pub(crate) hellos: BTreeMap<MemberName, HeardHello>,
     pub(crate) known: BTreeMap<MemberName, ReplicaId>,
     pub(crate) partial: Option<PartialSnapshot>,
     pub(crate) random: Pcg64Mcg,
@@ -174,7 +182,7 @@
         }
         match self.role {
             RoleState::Leader(_) => self.tick_leader(now),
-            _ if now >= self.election_at && self.votes_itself() => self.start_election(now),
+            _ if now >= self.election_at && self.may_lead() => self.start_election(now),
             _ => (),
         }
     }
--- a/crates/control/src/replica/election.rs
+++ b/crates/control/src/replica/election.rs
@@ -16,7 +16,7 @@
     pub(crate) fn start_election(&mut self, now: Moment) {
         self.draw_election(now);
         self.role = RoleState::PreCandidate { granted: vec![self.id] };
-        if self.seats().quorum() == 1 {
+        if self.seats().quorum() == 1 && self.votes_itself() {
             self.ask_votes(now, false);
             return;
         }
@@ -112,18 +112,34 @@
     }
 
     fn count_votes(&mut self, now: Moment) {
-        let quorum = self.seats().quorum();
         match &self.role {
-            RoleState::PreCandidate { granted } if granted.len() >= quorum => {
+            RoleState::PreCandidate { granted } if self.is_majority(granted) => {
                 self.ask_votes(now, false);
             }
-            RoleState::Candidate { granted, own_durable: true } if granted.len() >= quorum => {
+            RoleState::Candidate { granted, own_durable: true } if self.is_majority(granted) => {
                 self.become_leader(now);
             }
             _ => (),
         }
     }
 
+    /// Tells whether the voters in force among some replicas are a majority.
+    fn is_majority(&self, granted: &[ReplicaId]) -> bool {
+        let voters = granted.iter().filter(|id| self.seats().has_voter(**id));
+        voters.count() >= self.seats().quorum()
+    }
+
+    /// Tells whether the replica asks for votes: as a voter, or as one whose removal it does not know
+    /// to be committed (dissertation, section 4.2.2). Its log may be the only one that a majority of
+    /// the others does not refuse; it leads then until the removal is committed, without a vote.
+    pub(crate) fn may_lead(&self) -> bool {
+        if self.votes_itself() {
+            return true;
+        }
+        let before = self.seat_lists.len().checked_sub(2).map(|at| &self.seat_lists[at].1);
+        !self.seats_committed() && before.is_some_and(|list| list.has_voter(self.id))
+    }
+
     fn become_leader(&mut self, now: Moment) {
         let last = self.log.last_index();
         let progress = |peer: Sender| (peer.id, PeerProgress::open(now, last));
--- a/crates/control/src/replica/founding.rs
+++ b/crates/control/src/replica/founding.rs
@@ -7,12 +7,12 @@
 //! - a founder whose disk was replaced hears from the others that the group is founded, and stays
 //!   empty until a replica change adds it;
 //! - a first founder that lost its disk right after it wrote the record founds again only if nobody
-//!   else held an entry, so nothing was ever committed.
-
-use std::time::Duration;
+//!   else held an entry, so nothing was ever committed. It founds in a later term than any that the
+//!   others have voted in: its first self may have led such a term, and its entries may still be on
+//!   their way. Two records of one term could not be told from each other.
 
 use crate::replica::{
-    core::{OutMessage, ReplicaCore, Sender},
+    core::{HeardHello, OutMessage, ReplicaCore, Sender},
     entry::{EntryBody, ReplicaSeat, SeatList},
     log::LogWrite,
     message::{HelloMessage, ReplicaMessage},
@@ -40,7 +40,7 @@
 
     fn hello(&self, nonce: u64, answer: bool) -> HelloMessage {
         let founders = founders_digest(&self.founders);
-        HelloMessage { nonce, founders, founded: self.is_founded(), answer }
+        HelloMessage { nonce, founders, term: self.term, founded: self.is_founded(), answer }
     }
 
     pub(crate) fn on_hello(&mut self, now: Moment, from: &Sender, hello: &HelloMessage) {
@@ -57,7 +57,8 @@
             self.hellos.remove(&from.member);
             return;
         }
-        self.hellos.insert(from.member.clone(), (from.id, now));
+        let heard = HeardHello { id: from.id, term: hello.term, heard: now };
+        self.hellos.insert(from.member.clone(), heard);
         self.found_when_agreed(now);
     }
 
@@ -65,13 +66,12 @@
         if self.founders.iter().min() != Some(&self.member) {
             return;
         }
-        let fresh = |span: Duration| span < HELLO_FRESH;
         let seat = |member: &MemberName| {
             let id = match *member == self.member {
                 true => self.id,
                 false => {
-                    let (id, heard) = self.hellos.get(member)?;
-                    fresh(now.since(*heard)).then_some(*id)?
+                    let hello = self.hellos.get(member)?;
+                    (now.since(hello.heard) < HELLO_FRESH).then_some(hello.id)?
                 }
             };
             Some(ReplicaSeat { member: member.clone(), id, votes: true })
@@ -83,7 +83,9 @@
     }
 
     fn found(&mut self, now: Moment, list: SeatList) {
-        self.term = self.term.max(1);
+        let terms = self.hellos.values().map(|hello| hello.term);
+        self.term = terms.chain([self.term]).max().unwrap_or(0) + 1;
+        self.vote = None;
         self.write_vote();
         let index = self.append_own(EntryBody::Seats(list));
         debug_assert_eq!(index, 1);
--- a/crates/control/src/replica/message.rs
+++ b/crates/control/src/replica/message.rs
@@ -32,6 +32,8 @@
     pub nonce: u64,
     /// The digest of the list of founders. Replicas with different lists never found together.
     pub founders: u64,
+    /// The sender's term. The founder's is greater than each that it hears.
+    pub term: u64,
     /// Whether the sender holds a part of the group's log.
     pub founded: bool,
     /// Whether it is an answer.
