platform: metrics page, bounds on connections and heads

Cause: only GET /health stood, with no bound on connections and none on the time of a head; a late 'ready' could undo 'stopping'.

--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -1,49 +1,44 @@
-//! `GET /health` for the balancer. 200: send calls here. 503: send them elsewhere; calls that come
-//! all the same are still answered.
+//! Serves the platform's two pages within bounds.
+//!
+//! - `GET /health` for the balancer. 200: send calls here. 503: send them elsewhere; calls that come
+//!   all the same are still answered.
+//! - `GET /metrics` in Prometheus' text form.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, sync::atomic::AtomicU8};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
+use crate::{
+    metrics::FleetMetrics,
+    ready::{ReadyState, ReadySwitch},
+};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use model::ports::OperatorPort;
 use snafu::{ResultExt, Snafu};
-use std::sync::atomic::Ordering;
-use tokio::{net::TcpListener, task::JoinHandle};
-
-/// What the balancer is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReadyState {
-    /// The configuration is not known yet.
-    Starting,
-    /// Calls are welcome.
-    Ready,
-    /// A planned stop has begun.
-    Stopping,
-}
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+    task::JoinHandle,
+};
 
-/// Shared between the page and whoever sets it.
-#[derive(Clone, Debug, Default)]
-pub struct ReadySwitch(Arc<AtomicU8>);
+/// How many connections are held at a time: some balancers and some collectors. Further ones wait
+/// in the system's backlog, so that a peer that opens connections without end cannot use up the
+/// file descriptors that calls need.
+pub const CONNECTIONS_LIMIT: usize = 64;
 
-impl ReadySwitch {
-    /// Sets what the balancer is told.
-    pub fn set(&self, state: ReadyState) {
-        self.0.store(state as u8, Ordering::Release);
-    }
+/// How long a request's head may take, also the first of an idle connection. A peer that sends half
+/// a head and falls silent gives its place back after that.
+pub const HEAD_LIMIT: Duration = Duration::from_secs(5);
 
-    /// Returns what the balancer is told.
-    pub fn get(&self) -> ReadyState {
-        match self.0.load(Ordering::Acquire) {
-            0 => ReadyState::Starting,
-            1 => ReadyState::Ready,
-            _ => ReadyState::Stopping,
-        }
-    }
-}
+/// The largest head taken, in bytes.
+const HEAD_BYTES: usize = 16_384;
+
+/// How long accepting rests after the system refused it, as it does without file descriptors.
+const ACCEPT_REST: Duration = Duration::from_millis(100);
 
-/// Why the page could not be opened.
+/// Why the pages could not be opened.
 #[derive(Debug, Snafu)]
 pub enum PlatformError {
     /// The address could not be bound.
@@ -56,7 +51,18 @@
     },
 }
 
-/// The running page. Dropping it ends it.
+/// What the pages show.
+#[derive(Debug)]
+pub struct PlatformPages<P> {
+    /// What the balancer is told.
+    pub ready: ReadySwitch,
+    /// What was counted.
+    pub metrics: FleetMetrics,
+    /// Who is asked for what the fleet knows.
+    pub port: Arc<P>,
+}
+
+/// The running pages. Dropping it ends them.
 #[derive(Debug)]
 pub struct PlatformServer {
     address: SocketAddr,
@@ -64,15 +70,18 @@
 }
 
 impl PlatformServer {
-    /// Binds the page and starts to serve it.
+    /// Binds the pages and starts to serve them.
     ///
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
-    pub async fn bind(address: SocketAddr, ready: ReadySwitch) -> Result<Self, PlatformError> {
+    pub async fn bind<P: OperatorPort>(
+        address: SocketAddr,
+        pages: PlatformPages<P>,
+    ) -> Result<Self, PlatformError> {
         let listener = TcpListener::bind(address).await.context(BindSnafu { address })?;
         let address = listener.local_addr().context(BindSnafu { address })?;
-        let task = tokio::spawn(serve(listener, ready));
+        let task = tokio::spawn(serve(listener, Arc::new(pages)));
         Ok(Self { address, task })
     }
 
@@ -88,26 +97,77 @@
     }
 }
 
-async fn serve(listener: TcpListener, ready: ReadySwitch) {
+async fn serve<P: OperatorPort>(listener: TcpListener, pages: Arc<PlatformPages<P>>) {
+    let room = Arc::new(Semaphore::new(CONNECTIONS_LIMIT));
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        let ready = ready.clone();
-        let service = service_fn(move |request| {
-            let response = answer(&request, ready.get());
-            async move { Ok::<_, Infallible>(response) }
-        });
-        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        let permit = room.clone().acquire_owned().await.expect("the semaphore is never closed");
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(serve_one(stream, pages.clone(), permit))),
+            Err(error) => {
+                log::warn!(error:%; "cannot accept the platform's connection");
+                tokio::time::sleep(ACCEPT_REST).await;
+            }
+        }
+    }
+}
+
+async fn serve_one<P: OperatorPort>(
+    stream: TcpStream,
+    pages: Arc<PlatformPages<P>>,
+    permit: OwnedSemaphorePermit,
+) {
+    let service = service_fn(move |request| {
+        let pages = pages.clone();
+        async move { Ok::<_, Infallible>(answer(&request, &pages).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT).max_buf_size(HEAD_BYTES);
+    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+        log::debug!(error:%; "the platform's connection ended");
+    }
+    drop(permit);
+}
+
+async fn answer<P: OperatorPort>(
+    request: &Request<Incoming>,
+    pages: &PlatformPages<P>,
+) -> Response<Full<Bytes>> {
+    let known = matches!(request.uri().path(), "/health" | "/metrics");
+    if known && !matches!(*request.method(), Method::GET | Method::HEAD) {
+        return text(StatusCode::METHOD_NOT_ALLOWED, "GET only\n");
+    }
+    match request.uri().path() {
+        "/health" => health(pages.ready.get()),
+        "/metrics" => metrics(pages).await,
+        _ => text(StatusCode::NOT_FOUND, "GET /health or GET /metrics\n"),
+    }
+}
+
+fn health(state: ReadyState) -> Response<Full<Bytes>> {
+    match state {
+        ReadyState::Ready => text(StatusCode::OK, "ready\n"),
+        ReadyState::Starting => text(StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
+        ReadyState::Stopping => text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+    }
+}
+
+async fn metrics<P: OperatorPort>(pages: &PlatformPages<P>) -> Response<Full<Bytes>> {
+    match pages.metrics.page(pages.port.as_ref()).await {
+        Ok(page) => {
+            let mut response = text(StatusCode::OK, page);
+            let kind = HeaderValue::from_static(prometheus::TEXT_FORMAT);
+            response.headers_mut().insert(header::CONTENT_TYPE, kind);
+            response
+        }
+        Err(error) => {
+            log::error!(error:%; "no metrics page");
+            text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n"))
+        }
     }
 }
 
-fn answer(request: &Request<Incoming>, state: ReadyState) -> Response<Full<Bytes>> {
-    let (status, text) = match (request.uri().path(), state) {
-        ("/health", ReadyState::Ready) => (StatusCode::OK, "ready\n"),
-        ("/health", ReadyState::Starting) => (StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
-        ("/health", ReadyState::Stopping) => (StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
-        _ => (StatusCode::NOT_FOUND, "GET /health\n"),
-    };
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn text(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
     *response.status_mut() = status;
     response
 }
