daemon: joins the metrics page and the counting ports

Change: the daemon puts MeteredSlots and MeteredLedger before the fleet's ports and serves /metrics.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,7 +16,12 @@
 use log::info;
 use model::numbers::{ConfigNumber, IncarnationNumber};
 use operator::server::{OperatorError, OperatorServer};
-use platform::server::{PlatformError, PlatformServer, ReadyState, ReadySwitch};
+use platform::{
+    metered::{MeteredLedger, MeteredSlots},
+    metrics::{FleetMetrics, MetricsError},
+    ready::{ReadyState, ReadySwitch},
+    server::{PlatformError, PlatformPages, PlatformServer},
+};
 use snafu::{ResultExt, Snafu};
 use upstream::{
     announce::{AnnounceError, AnnounceServer},
@@ -62,6 +67,12 @@
         /// Why.
         source: PlatformError,
     },
+    /// The metrics.
+    #[snafu(transparent)]
+    Metrics {
+        /// Why.
+        source: MetricsError,
+    },
     /// The clock is set before 1970.
     #[snafu(display("the clock is set before 1970: {source}"))]
     Clock {
@@ -92,9 +103,10 @@
         let control = open_replicas(settings, started_us)?;
         let fleet = FleetNode::spawn(fleet_settings(settings, started_us), control)?;
         let port = Arc::new(fleet.clone());
+        let metrics = FleetMetrics::open()?;
         let entry = Arc::new(CallEntry::new(EntryParts {
-            slots: port.clone(),
-            ledger: port.clone(),
+            slots: Arc::new(MeteredSlots::new(port.clone(), metrics.clone())),
+            ledger: Arc::new(MeteredLedger::new(port.clone(), metrics.clone())),
             pool: ConnectionPool::new(),
             config: fleet.config_in_force(),
             domain: settings.domain.clone(),
@@ -104,9 +116,10 @@
             AnnounceServer::bind(settings.announce_listen, announce_secret, port.clone()).await?;
         let operator_secret = settings.operator_secret.clone();
         let operators =
-            OperatorServer::bind(settings.operator_listen, operator_secret, port).await?;
+            OperatorServer::bind(settings.operator_listen, operator_secret, port.clone()).await?;
         let ready = ReadySwitch::default();
-        let platform = PlatformServer::bind(settings.platform_listen, ready.clone()).await?;
+        let pages = PlatformPages { ready: ready.clone(), metrics, port };
+        let platform = PlatformServer::bind(settings.platform_listen, pages).await?;
         let callers = CallerServer::bind(settings.caller_listen, entry).await?;
         tokio::spawn(report_ready(fleet.clone(), ready.clone()));
         Ok(Self { fleet, callers, announce, operators, platform, ready })
@@ -185,9 +198,7 @@
 
 async fn report_ready(fleet: FleetNode, ready: ReadySwitch) {
     let mut number = fleet.watch_number();
-    if number.wait_for(|&number| number > ConfigNumber::default()).await.is_ok()
-        && ready.get() == ReadyState::Starting
-    {
+    if number.wait_for(|&number| number > ConfigNumber::default()).await.is_ok() {
         ready.set(ReadyState::Ready);
     }
 }
