--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`server`]: serves both pages within bounds;
 //! - [`ready`]: what the balancer is told;
 //! - [`metrics`]: what is counted, and the page that shows it;
+//! - `gauges`: what the fleet knows, as shown on that page;
 //! - [`tally`]: the counters that traffic threads touch;
 //! - [`metered`]: ports that count what passes through them.
 
@@ -11,3 +12,5 @@
 pub mod ready;
 pub mod server;
 pub mod tally;
+
+mod gauges;
--- a/crates/platform/src/metrics.rs
+++ b/crates/platform/src/metrics.rs
@@ -6,13 +6,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::tally::{CLAIMS, FleetTally, OUTCOMES, REASONS, ServiceTally, outcome_label};
-use arc_swap::ArcSwapOption;
-use model::{
-    names::ServiceName,
-    ports::OperatorPort,
-    report::{CapacityRow, ReplicaRole, StatusReport},
+use crate::{
+    gauges::{FleetSnapshot, SnapshotCell, observe_snapshot},
+    tally::{CLAIMS, FleetTally, OUTCOMES, REASONS, ServiceTally, outcome_label},
 };
+use model::{names::ServiceName, ports::OperatorPort};
 use opentelemetry::{
     KeyValue,
     metrics::{AsyncInstrument, Histogram, Meter, MeterProvider},
@@ -47,18 +45,11 @@
     },
 }
 
-/// What the fleet knew when the page was last read.
-#[derive(Debug)]
-struct FleetSnapshot {
-    status: StatusReport,
-    capacity: Vec<CapacityRow>,
-}
-
 /// All that is counted in one process. Cloning it shares it.
 #[derive(Clone, Debug)]
 pub struct FleetMetrics {
     tally: Arc<FleetTally>,
-    snapshot: Arc<ArcSwapOption<FleetSnapshot>>,
+    snapshot: SnapshotCell,
     registry: Registry,
     queue_wait: Histogram<f64>,
     placement: Histogram<f64>,
@@ -121,7 +112,7 @@
     builder.with_boundaries(TIME_BOUNDS.to_vec()).build()
 }
 
-fn service_label(service: &ServiceName) -> KeyValue {
+pub(crate) fn service_label(service: &ServiceName) -> KeyValue {
     KeyValue::new("service", service.as_str().to_owned())
 }
 
@@ -169,59 +160,3 @@
         }
     }
 }
-
-type SnapshotCell = Arc<ArcSwapOption<FleetSnapshot>>;
-
-fn observe_snapshot(meter: &Meter, snapshot: &SnapshotCell) {
-    let status_gauges: [(&'static str, &'static str, fn(&StatusReport) -> u64); 6] = [
-        ("config_number", "The configuration in force here.", |status| status.accepted.0),
-        ("config_confirmed", "1 where the leader confirmed the number.", |status| {
-            u64::from(status.confirmed)
-        }),
-        ("config_lagging", "VMs on which an older number is in force.", |status| {
-            status.lagging.len() as u64
-        }),
-        ("members", "VMs of the fleet that are known here.", |status| u64::from(status.members)),
-        ("groups", "Replicated groups of which this VM holds a replica.", |status| {
-            let held = status.groups.iter().filter(|group| group.role != ReplicaRole::Absent);
-            held.count() as u64
-        }),
-        ("groups_led", "Replicated groups that this VM leads.", |status| {
-            let led = status.groups.iter().filter(|group| group.role == ReplicaRole::Leader);
-            led.count() as u64
-        }),
-    ];
-    for (name, about, read) in status_gauges {
-        let held = snapshot.clone();
-        let gauge = meter.u64_observable_gauge(name).with_description(about);
-        let gauge = gauge.with_callback(move |observer| {
-            if let Some(snapshot) = held.load().as_deref() {
-                observer.observe(read(&snapshot.status), &[]);
-            }
-        });
-        gauge.build();
-    }
-    let capacity_gauges: [(&'static str, &'static str, fn(&CapacityRow) -> u64); 5] = [
-        ("healthy_slots", "Slots of upstreams that take work.", |row| row.healthy_slots.into()),
-        ("announced_slots", "Slots of upstreams that are announced.", |row| {
-            row.announced_slots.into()
-        }),
-        ("floor_slots", "The agreed floor.", |row| row.floor_slots.into()),
-        ("busy_slots_p95", "Slots in use, 95th percentile of the last minutes.", |row| {
-            row.busy_p95.into()
-        }),
-        ("switch_on", "Upstreams that should be switched on.", |row| row.switch_on.into()),
-    ];
-    for (name, about, read) in capacity_gauges {
-        let held = snapshot.clone();
-        let gauge = meter.u64_observable_gauge(name).with_description(about);
-        let gauge = gauge.with_callback(move |observer| {
-            if let Some(snapshot) = held.load().as_deref() {
-                for row in &snapshot.capacity {
-                    observer.observe(read(row), &[service_label(&row.service)]);
-                }
-            }
-        });
-        gauge.build();
-    }
-}
