trial: the main job tells detection time and false ejections

Change: a watch asks each VM's operators' interface every 20 ms which upstreams are ejected and keeps the first moment of each.

Conclusion: ready for the placer that detects.

--- a/crates/trial/examples/hunt_day.rs
+++ b/crates/trial/examples/hunt_day.rs
@@ -1,7 +1,11 @@
 //! The main job: both deployments on loopback, with a gray failure, a leaving upstream and a planned
 //! stop in the middle. Prints what callers saw and ends non-zero when a promise is broken.
 
-use std::{process::ExitCode, sync::Arc, time::Duration};
+use std::{
+    process::ExitCode,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use comfy_table::Table;
 use hdrhistogram::Histogram;
@@ -16,6 +20,7 @@
     guild,
     load::{LoadPlan, LoadRun, LoadTally},
     promise::{BrokenPromise, broken_promises},
+    watch::EjectionWatch,
 };
 
 const DAEMONS: usize = 3;
@@ -36,6 +41,8 @@
     broken: Vec<BrokenPromise>,
     late_work: Option<Duration>,
     gray_failed: u64,
+    detected: Option<Duration>,
+    false_ejections: usize,
 }
 
 impl DayResult {
@@ -95,38 +102,34 @@
         seed: 7,
     };
     let load = LoadRun::spawn(&load_plan, &balancer);
+    let operators = deployment.running().map(|node| node.operator_address()).collect();
+    let watch = EjectionWatch::spawn(operators);
     tokio::time::sleep(GRAY_AFTER).await;
     let gray = 0;
+    let turned_gray = Instant::now();
     deployment.upstreams[gray].set_fault(FaultPlan { errors: 0.3, ..FaultPlan::NONE });
     tokio::time::sleep(LEAVE_AFTER).await;
     let leaving = deployment.upstreams.len() - 1;
-    let left = std::time::Instant::now();
+    let left = Instant::now();
     // Nobody listens only when all daemons are gone, which the load would show.
     let _ = deployment.upstreams[leaving].leave().await;
     tokio::time::sleep(STOP_AFTER).await;
     deployment.stop(DAEMONS - 1).await;
     tokio::time::sleep(END_AFTER).await;
     let tally = load.finish().await;
-    Ok(sum_up(&deployment, tally, direct, leaving, left, gray))
-}
-
-fn sum_up(
-    deployment: &Deployment,
-    tally: LoadTally,
-    direct: Histogram<u64>,
-    leaving: usize,
-    left: std::time::Instant,
-    gray: usize,
-) -> DayResult {
     let last_call = deployment.upstreams[leaving].last_call();
-    DayResult {
+    let failing = &deployment.upstreams[gray].settings().upstream;
+    let ejected = watch.ejected_at(failing);
+    Ok(DayResult {
         name: deployment.plan.name,
         broken: broken_promises(&tally, &deployment.runs_by_key()),
         late_work: last_call.map(|last| last.saturating_duration_since(left)),
         gray_failed: deployment.upstreams[gray].failed(),
+        detected: ejected.map(|at| at.saturating_duration_since(turned_gray)),
+        false_ejections: watch.false_ejections(failing),
         tally,
         direct,
-    }
+    })
 }
 
 async fn measure_direct(deployment: &Deployment) -> Histogram<u64> {
@@ -134,7 +137,7 @@
     let address = deployment.upstreams[0].address();
     let Ok(mut connection) = CallConnection::open(address).await else { return took };
     for _ in 0..500 {
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         if connection.send(request("GET", "/direct", &[], b"")).await.is_ok() {
             let micros = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
             took.record(micros).expect("the histogram grows as needed");
@@ -162,6 +165,10 @@
     row("cut", &|r| r.tally.cut.to_string());
     row("doubled runs", &|r| r.doubled().to_string());
     row("failures by the gray upstream", &|r| r.gray_failed.to_string());
+    row("detection time (ms)", &|r| {
+        r.detected.map_or("not detected".to_owned(), |after| after.as_millis().to_string())
+    });
+    row("false ejections", &|r| r.false_ejections.to_string());
     row("last work after leaving (ms)", &|r| {
         r.late_work.map_or("none".to_owned(), |late| late.as_millis().to_string())
     });
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`balancer`]: sends callers to the VMs whose health page says so;
 //! - [`load`]: callers and what became of their calls;
 //! - [`promise`]: what must hold after any load;
+//! - [`watch`]: which upstreams were taken out, and when;
 //! - [`folder`]: a temporary data folder.
 
 pub mod balancer;
@@ -14,3 +15,4 @@
 pub mod guild;
 pub mod load;
 pub mod promise;
+pub mod watch;
