--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -7,13 +7,12 @@
 use std::{
     net::IpAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
 use arc_swap::ArcSwap;
-use decide::retry::RetryBudget;
 use http::{HeaderValue, Request, Response, Version, header};
 use hyper::body::Incoming;
 use log::info;
@@ -30,16 +29,13 @@
 
 use crate::{
     answer::{CallReject, CallerBody, failed, refused},
+    budget::ServiceBudgets,
     limits::CallLimits,
     repeat::RepeatedRun,
     request::{CallContext, RoutedCall},
     tries::{PlacedTry, TryAnswer, TryReason, slot_ask},
 };
 
-/// How many upstreams one call is sent to at most, however much time is left: a call that three
-/// upstreams failed will most likely fail a fourth, whose slot another call can use.
-pub(crate) const TRIES_LIMIT: u32 = 3;
-
 /// When a call that this VM itself has no room for should come back, in milliseconds.
 const FULL_RETRY_MS: u32 = 1_000;
 
@@ -64,7 +60,7 @@
     /// What runs on when its caller is gone.
     pub(crate) tasks: TaskTracker,
     next_call: AtomicU64,
-    budget: Mutex<RetryBudget>,
+    pub(crate) budgets: ServiceBudgets,
     room: Semaphore,
     closing: AtomicBool,
 }
@@ -106,7 +102,7 @@
             limits,
             tasks: TaskTracker::new(),
             next_call: AtomicU64::new(1),
-            budget: Mutex::new(RetryBudget::new(10)),
+            budgets: ServiceBudgets::default(),
             room: Semaphore::new(limits.calls),
             closing: AtomicBool::new(false),
         }
@@ -192,22 +188,21 @@
         context: &CallContext,
         first: Result<PlacedTry<S>, CallRefusal>,
     ) -> Result<TryAnswer, OnceFault> {
-        self.count_call();
+        self.count_call(context);
         let mut placed = first.map_err(OnceFault::Refused)?;
         let mut avoid = Vec::new();
-        for attempt in 2.. {
+        for attempt in 1.. {
             avoid.push(placed.grant.upstream.clone());
             let fault = match placed.send(&self.parts.pool, context, &self.limits).await {
                 Ok(answer) => return Ok(answer),
                 Err(fault) => fault,
             };
-            let again = fault.proves_not_run() && context.body.is_available();
-            if !again || attempt > TRIES_LIMIT || context.left().is_zero() || !self.may_retry() {
+            if !self.budgets.allows_retry(context, attempt, fault.outcome) {
                 return Err(OnceFault::Failed(fault));
             }
             let reason = TryReason::After(fault.outcome);
-            placed =
-                self.place(context, attempt, &avoid, reason).await.map_err(OnceFault::Refused)?;
+            let next = self.place(context, attempt + 1, &avoid, reason).await;
+            placed = next.map_err(OnceFault::Refused)?;
         }
         unreachable!("the last try returns");
     }
@@ -224,11 +219,7 @@
         PlacedTry::place(&self.parts.slots, context, ask, reason).await
     }
 
-    pub(crate) fn count_call(&self) {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner).count_call();
-    }
-
-    pub(crate) fn may_retry(&self) -> bool {
-        self.budget.lock().unwrap_or_else(PoisonError::into_inner).spend()
+    pub(crate) fn count_call(&self, context: &CallContext) {
+        self.budgets.count_call(context, &self.parts.config.load());
     }
 }
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`entry`]: the path of one call, from its route to its outcome;
 //! - `request`: reads a request's head and body;
 //! - `tries`: one try of a call at one upstream;
+//! - `budget`: what may be tried again;
 //! - `repeat`: the run of an idempotent call;
 //! - `keyed`: the run of a call with an idempotency key;
 //! - [`body`], `relay`: bodies that are whole, and such that stream through;
@@ -15,6 +16,7 @@
 
 pub mod answer;
 pub mod body;
+mod budget;
 pub mod digest;
 pub mod entry;
 mod headers;
--- a/crates/caller/src/repeat.rs
+++ b/crates/caller/src/repeat.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     answer::{CallerBody, failed, refused},
-    entry::{CallEntry, TRIES_LIMIT},
+    entry::CallEntry,
     request::CallContext,
     tries::{PlacedTry, TryAnswer, TryReason},
 };
@@ -44,31 +44,27 @@
 
     /// Runs the call to its answer.
     pub(crate) async fn run(mut self) -> Response<CallerBody> {
-        self.entry.count_call();
+        self.entry.count_call(self.context);
         let mut reason = TryReason::First;
         loop {
             let placed = match self.place(reason).await {
                 Ok(placed) => placed,
                 Err(refusal) => return self.end(|| refused(refusal)),
             };
-            let outcome = match self.send_hedged(placed).await {
+            let fault = match self.send_hedged(placed).await {
                 Ok(answer) if !answer.is_whole_error() => return answer.pass_on(self.context),
                 Ok(answer) => {
                     self.last_error = Some(answer);
-                    OutcomeClass::ErrorAnswer
-                }
-                Err(fault) => {
-                    self.note(fault);
-                    if !self.may_go_on() {
-                        return self.end(|| failed(fault));
-                    }
-                    fault.outcome
+                    ExchangeFault { outcome: OutcomeClass::ErrorAnswer, sent: true }
                 }
+                Err(fault) => fault,
             };
-            if outcome == OutcomeClass::ErrorAnswer && !self.may_go_on() {
-                return self.end(|| failed(ExchangeFault { outcome, sent: true }));
+            self.note(fault);
+            let budgets = &self.entry.budgets;
+            if !budgets.allows_retry(self.context, self.attempt, fault.outcome) {
+                return self.end(|| failed(fault));
             }
-            reason = TryReason::After(outcome);
+            reason = TryReason::After(fault.outcome);
         }
     }
 
@@ -88,11 +84,6 @@
         }
     }
 
-    fn may_go_on(&self) -> bool {
-        let possible = self.context.body.is_available() && self.attempt < TRIES_LIMIT;
-        possible && !self.context.left().is_zero() && self.entry.may_retry()
-    }
-
     async fn place(&mut self, reason: TryReason) -> Result<PlacedTry<S>, CallRefusal> {
         self.attempt += 1;
         let placed = self.entry.place(self.context, self.attempt, &self.avoid, reason).await?;
@@ -111,7 +102,7 @@
         if let Ok(result) = timeout(hedge_after, &mut first).await {
             return result;
         }
-        if !self.may_go_on() {
+        if !entry.budgets.allows_hedge(context) {
             return first.await;
         }
         let second = async {
