--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -185,7 +185,8 @@
         let entry = self.entry.clone();
         let service = service_fn(move |request| {
             let entry = entry.clone();
-            async move { Ok::<_, Infallible>(entry.answer(request, peer.ip()).await) }
+            // Boxed, since the HTTP library keeps room for the future on each idle connection.
+            async move { Ok::<_, Infallible>(entry.answer(request, peer.ip()).await) }.boxed()
         });
         let limits = self.entry.limits();
         let guarded = StallGuard::new(stream, limits.head_timeout, limits.write_idle);
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -297,7 +297,10 @@
         crash.notify_one();
         std::future::pending::<()>().await;
     }
-    tokio::time::sleep(settings.takes.mul_f64(slowness)).await;
+    // Even a sleep of no time lasts until the timer's next millisecond.
+    if !settings.takes.is_zero() {
+        tokio::time::sleep(settings.takes.mul_f64(slowness)).await;
+    }
     let text = format!("{} {path} {}", settings.upstream, body.len());
     Ok(match fate {
         CallFate::Answer => answer(StatusCode::OK, None, &text),
