decide: place, admit, detect, eject, return and pace under load

Cause: the placer filled slots by counts but judged nothing. Change: exact slots with limits that follow shed answers and falling throughput, cold ramps, own domain first; a queue by callers' turns and deadlines that refuses at once what cannot be in time; CUSUM tests of each upstream against its peers by route, thresholds from the rule's prices; path faults, shared causes, poisonous requests; floor in slots with return in the same decision; trials with growing time out; recount of earlier epochs, lost entries; paced moves after a loss. Rows 9 to 13, 16, 23, 25, 26, 28 as tests in tests/rows.rs over a loop that passes time in.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,8 @@
 //! and gives the same result on each run.
 //!
 //! - [`placer`]: the one guard of a service's slots, queue and floor;
+//! - [`detect`]: the sequential test of each upstream against its peers;
+//! - [`limit`]: how many calls an upstream is given at once;
 //! - [`poison`]: requests that crash what runs them;
 //! - [`capacity`]: how much of the hardware has to be switched on;
 //! - [`fallback`]: what an entry does without a placer in reach;
@@ -13,9 +15,11 @@
 //! - [`retry`] and [`hedge`]: what an entry may run again.
 
 pub mod capacity;
+pub mod detect;
 pub mod fallback;
 pub mod floor;
 pub mod hedge;
+pub mod limit;
 pub mod placer;
 pub mod poison;
 pub mod retry;
--- /dev/null
+++ b/crates/decide/src/limit.rs
@@ -0,0 +1,142 @@
+//! How many calls an upstream is given at once.
+//!
+//! Load: an upstream that announces more slots than it can work on, or sheds, or just lost its peers
+//! and gets their work. Harm prevented: each further call only makes the others slower; a wave of
+//! moved work breaks the next upstream. Announced slots and load reports mislead, so the limit follows
+//! what is seen: shed answers, and throughput that falls as calls are added.
+//!
+//! Reasons for the limits: never above the announced slots, never below one (an upstream without work
+//! gives no evidence). A shed answer takes a third off, once in a tenth of a second, as calls in
+//! flight are shed together; each success gives back a part so that a whole round of successes gives
+//! one slot, the usual additive increase. After a loss of many slots elsewhere the window starts at
+//! half and doubles with each round: full within a few service times where there is room.
+
+use model::moment::Moment;
+use std::time::Duration;
+
+/// Shed answers closer together than this are one event.
+const SHED_PAUSE: Duration = Duration::from_millis(100);
+
+/// For how long after a shed answer times are not held against an upstream: until its limit has grown
+/// back by a few slots and would have met the next shed answer.
+const PRESSED_SPAN: Duration = Duration::from_secs(5);
+
+/// How many answers at each number of calls are compared. The mean of so many is right to a tenth.
+const LEVEL_SAMPLES: u32 = 128;
+
+/// Throughput below this part of that with fewer calls is falling; noise does not reach it.
+const FALLING: f64 = 0.7;
+
+/// For how long a cut for falling throughput holds before it is tried again.
+const CUT_SPAN: Duration = Duration::from_secs(10);
+
+/// Numbers of calls above this share one level.
+const LEVELS: usize = 64;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LoadLevel {
+    answers: u32,
+    /// The mean of the time taken, in parts of the route's median.
+    mean: f64,
+}
+
+/// The limit of one upstream.
+#[derive(Debug)]
+pub struct SlotLimit {
+    slots: u32,
+    window: f64,
+    /// Below this the window doubles with each round instead of growing by one.
+    fast_until: f64,
+    last_shed: Option<Moment>,
+    levels: Vec<LoadLevel>,
+    cut: Option<(u32, Moment)>,
+}
+
+impl SlotLimit {
+    /// Opens a limit at the announced slots.
+    pub fn open(slots: u32) -> Self {
+        let window = f64::from(slots);
+        let (last_shed, cut) = (None, None);
+        Self { slots, window, fast_until: 0.0, last_shed, levels: Vec::new(), cut }
+    }
+
+    /// Follows a change of the announced slots.
+    pub fn set_slots(&mut self, slots: u32) {
+        if slots != self.slots {
+            *self = Self::open(slots);
+        }
+    }
+
+    /// Returns how many calls may run at once.
+    pub fn current(&self) -> u32 {
+        let window = self.window as u32;
+        let cut = self.cut.map_or(self.slots, |(cut, _)| cut);
+        window.min(cut).clamp(1, self.slots.max(1)).min(self.slots)
+    }
+
+    /// Tells whether the upstream has said of late that it is given too much. Its slow answers are then
+    /// the doing of whoever gives it work.
+    pub fn is_pressed(&self, now: Moment) -> bool {
+        self.last_shed.is_some_and(|last| now.since(last) < PRESSED_SPAN)
+    }
+
+    /// Counts a shed answer that came while `busy` calls ran.
+    pub fn shed(&mut self, busy: u32, now: Moment) {
+        let recent = self.last_shed.is_some_and(|last| now.since(last) < SHED_PAUSE);
+        if recent {
+            return;
+        }
+        self.last_shed = Some(now);
+        let from = self.window.min(f64::from(busy.max(1)));
+        self.window = (from * 2.0 / 3.0).max(1.0);
+        self.fast_until = 0.0;
+    }
+
+    /// Counts an answer that began with `busy` calls running, itself included, and took `ratio` of
+    /// the route's median where that is known.
+    pub fn success(&mut self, busy: u32, ratio: Option<f64>, now: Moment) {
+        let step = if self.window < self.fast_until { 1.0 } else { 1.0 / self.window };
+        self.window = (self.window + step).min(f64::from(self.slots));
+        if self.cut.is_some_and(|(_, until)| until <= now) {
+            self.cut = None;
+            self.levels.clear();
+        }
+        if let Some(ratio) = ratio {
+            self.measure(busy, ratio, now);
+        }
+    }
+
+    /// Starts small again, since others' work is about to come: at half, or what runs already.
+    pub fn squeeze(&mut self, busy: u32) {
+        let half = self.slots.div_ceil(2);
+        self.window = self.window.min(f64::from(half.max(busy)));
+        self.fast_until = f64::from(self.slots);
+    }
+
+    fn measure(&mut self, busy: u32, ratio: f64, now: Moment) {
+        let index = (busy.max(1) as usize).min(LEVELS) - 1;
+        if self.levels.len() <= index {
+            self.levels.resize(index + 1, LoadLevel::default());
+        }
+        let level = &mut self.levels[index];
+        level.answers = (level.answers + 1).min(LEVEL_SAMPLES * 4);
+        level.mean += (ratio - level.mean) / f64::from(level.answers);
+        if level.answers.is_multiple_of(LEVEL_SAMPLES) {
+            self.cut_where_throughput_falls(index, now);
+        }
+    }
+
+    fn cut_where_throughput_falls(&mut self, index: usize, now: Moment) {
+        let throughput = |index: usize| {
+            let level = self.levels[index];
+            let known = level.answers >= LEVEL_SAMPLES && level.mean > 0.0;
+            known.then(|| (index + 1) as f64 / level.mean)
+        };
+        let Some(here) = throughput(index) else { return };
+        let fewer = (0..index).filter_map(|i| throughput(i).map(|value| (i, value)));
+        let Some((best, most)) = fewer.max_by(|a, b| a.1.total_cmp(&b.1)) else { return };
+        if here < most * FALLING {
+            self.cut = Some((best as u32 + 1, now + CUT_SPAN));
+        }
+    }
+}
--- a/crates/decide/src/placer/action.rs
+++ b/crates/decide/src/placer/action.rs
@@ -41,6 +41,8 @@
     SpillOver,
     /// It is ejected and has to prove itself.
     Trial,
+    /// Only entries of another failure domain have seen it fail.
+    SecondOpinion,
     /// The call has tried each other upstream.
     NoOther,
 }
@@ -83,6 +85,7 @@
     SameDomain => "same-domain",
     SpillOver => "spill-over",
     Trial => "trial",
+    SecondOpinion => "second-opinion",
     NoOther => "no-other",
 });
 display_words!(EjectReason {
--- /dev/null
+++ b/crates/decide/src/placer/spread.rs
@@ -0,0 +1,74 @@
+//! Which upstreams an entry can reach, and what it costs.
+
+use model::moment::Moment;
+use std::collections::BTreeMap;
+
+/// Who cannot reach an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum PathSource {
+    Entry(u32),
+    Domain(u32),
+}
+
+/// Paths that were found broken while the upstream works for others.
+///
+/// Load: one machine or one failure domain hears an upstream badly, or not at all. Harm prevented: a
+/// healthy upstream is ejected for all. Reason for the limit: a broken path is tried again after the
+/// time that an ejection would have lasted; nobody else tells when it works.
+#[derive(Debug, Default)]
+pub(super) struct PathFaults {
+    until: BTreeMap<(PathSource, u32), Moment>,
+}
+
+impl PathFaults {
+    pub(super) fn add(&mut self, source: PathSource, target: u32, until: Moment) {
+        self.until.insert((source, target), until);
+    }
+
+    pub(super) fn is_broken(&self, entry: u32, domain: u32, target: u32) -> bool {
+        let broken = |source| self.until.contains_key(&(source, target));
+        !self.until.is_empty()
+            && (broken(PathSource::Entry(entry)) || broken(PathSource::Domain(domain)))
+    }
+
+    pub(super) fn expire(&mut self, now: Moment) {
+        self.until.retain(|_, until| *until > now);
+    }
+
+    pub(super) fn forget_target(&mut self, target: u32) {
+        self.until.retain(|(_, other), _| *other != target);
+    }
+}
+
+/// How much one answer weighs in a measured cost.
+const WEIGHT: f64 = 1.0 / 64.0;
+
+/// How much dearer the entry's own domain may be than another before calls leave it.
+const HOME_FACTOR: f64 = 1.5;
+
+/// What answers cost between failure domains: the time taken, in parts of the route's median, so that
+/// long and short routes can be compared.
+#[derive(Debug, Default)]
+pub(super) struct DomainCosts {
+    costs: BTreeMap<(u32, u32), f64>,
+}
+
+impl DomainCosts {
+    pub(super) fn note(&mut self, from: u32, to: u32, ratio: f64) {
+        let cost = self.costs.entry((from, to)).or_insert(1.0);
+        *cost += (ratio.min(10.0) - *cost) * WEIGHT;
+    }
+
+    /// Returns the cost in quarters: smaller differences are noise.
+    pub(super) fn quarters(&self, from: u32, to: u32) -> u32 {
+        (self.cost(from, to) * 4.0).round() as u32
+    }
+
+    pub(super) fn home_is_worth_it(&self, home: u32, other: u32) -> bool {
+        self.cost(home, home) <= self.cost(home, other) * HOME_FACTOR
+    }
+
+    fn cost(&self, from: u32, to: u32) -> f64 {
+        self.costs.get(&(from, to)).copied().unwrap_or(1.0)
+    }
+}
--- a/crates/decide/src/poison.rs
+++ b/crates/decide/src/poison.rs
@@ -83,3 +83,137 @@
         self.until.iter().map(|(&fingerprint, &until)| (fingerprint, until))
     }
 }
+
+/// Crashes closer together than this, of several upstreams, may have one cause outside of them.
+const SHARED_CRASH_SPAN: Duration = Duration::from_secs(1);
+
+/// From so many upstreams on that crash together, the cause is outside of them: a failure domain was
+/// lost, and what ran there is innocent.
+const SHARED_CRASH_UPSTREAMS: usize = 3;
+
+#[derive(Clone, Copy, Debug)]
+struct CrashSuspect {
+    /// When its first crash became known.
+    known: Moment,
+    /// How many of it run now.
+    running: u32,
+    /// When another of it crashed that had been running already by then.
+    beside: Option<Moment>,
+}
+
+/// What a suspect request may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SuspectVerdict {
+    /// Run.
+    Run,
+    /// Come back after this time: one of it is running, or two crashed together a moment ago.
+    Wait(Duration),
+    /// Be refused: it has crashed two upstreams.
+    Convict,
+}
+
+/// Requests that were in flight at one crash.
+///
+/// A second crash convicts when its run began after the first crash was known. Two that crash side by
+/// side (a call and its hedge, or one popular read at two upstreams of a lost failure domain) convict
+/// only a second later, unless the request succeeds somewhere or a third upstream crashes as well.
+#[derive(Debug, Default)]
+pub struct CrashSuspects {
+    suspects: BTreeMap<RequestFingerprint, CrashSuspect>,
+    crashes: Vec<(Moment, u32)>,
+    last_shared: Option<Moment>,
+}
+
+impl CrashSuspects {
+    /// Tells whether nothing is suspect: the fast way past the rest.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Tells whether a request has a crash to its name.
+    pub fn contains(&self, fingerprint: RequestFingerprint) -> bool {
+        self.suspects.contains_key(&fingerprint)
+    }
+
+    /// Counts a crash of `upstream` while the request ran there since `granted`; `running` more of it
+    /// run elsewhere. Returns whether that convicts it.
+    pub fn crash(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        upstream: u32,
+        granted: Moment,
+        running: u32,
+        now: Moment,
+    ) -> bool {
+        self.note_upstream(upstream, now);
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.running = running;
+            if granted > suspect.known {
+                self.suspects.remove(&fingerprint);
+                return true;
+            }
+            suspect.beside = Some(now);
+        } else if self.suspects.len() < POISON_LIMIT {
+            let suspect = CrashSuspect { known: now, running, beside: None };
+            self.suspects.insert(fingerprint, suspect);
+        }
+        false
+    }
+
+    /// Clears a request that succeeded.
+    pub fn succeed(&mut self, fingerprint: RequestFingerprint) {
+        self.suspects.remove(&fingerprint);
+    }
+
+    /// Counts the start of a run.
+    pub fn start(&mut self, fingerprint: RequestFingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.running += 1;
+        }
+    }
+
+    /// Counts the end of a run.
+    pub fn end(&mut self, fingerprint: RequestFingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.running = suspect.running.saturating_sub(1);
+        }
+    }
+
+    /// Decides what a request may do now.
+    pub fn judge(&mut self, fingerprint: RequestFingerprint, now: Moment) -> SuspectVerdict {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return SuspectVerdict::Run };
+        if let Some(beside) = suspect.beside {
+            let left = (beside + SHARED_CRASH_SPAN).since(now);
+            if !left.is_zero() {
+                return SuspectVerdict::Wait(left);
+            }
+            let shared = self.last_shared.is_some_and(|shared| {
+                shared.since(beside).max(beside.since(shared)) <= SHARED_CRASH_SPAN
+            });
+            if !shared {
+                self.suspects.remove(&fingerprint);
+                return SuspectVerdict::Convict;
+            }
+            suspect.beside = None;
+        }
+        if suspect.running > 0 {
+            SuspectVerdict::Wait(SHARED_CRASH_SPAN)
+        } else {
+            SuspectVerdict::Run
+        }
+    }
+
+    /// Forgets old suspicions.
+    pub fn expire(&mut self, now: Moment) {
+        self.suspects.retain(|_, suspect| suspect.known + SUSPICION_SPAN > now);
+    }
+
+    fn note_upstream(&mut self, upstream: u32, now: Moment) {
+        self.crashes
+            .retain(|(at, other)| *other != upstream && now.since(*at) <= SHARED_CRASH_SPAN);
+        self.crashes.push((now, upstream));
+        if self.crashes.len() >= SHARED_CRASH_UPSTREAMS {
+            self.last_shared = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/tests/rows.rs
@@ -0,0 +1,355 @@
+//! The failures that are easy to miss, by the numbers of the fault matrix.
+
+mod support;
+
+use decide::placer::{EjectReason, PlacerAction};
+use googletest::prelude::*;
+use model::{
+    call::{OutcomeClass, RefusalReason},
+    config::ServiceRule,
+    moment::Moment,
+    report::UpstreamHealth,
+};
+use std::time::Duration;
+use support::{
+    Condition, WELL, World, WorldPlan, build,
+    direct::{Direct, ejected, returned},
+    outcome::health_of,
+};
+
+fn onset() -> Moment {
+    Moment::from_millis(10_000)
+}
+
+fn plans(seed: u64) -> [WorldPlan; 2] {
+    [WorldPlan::guild(seed), WorldPlan::convoy(seed)]
+}
+
+/// One upstream is in a condition from the onset on.
+fn one_bad(upstream: usize, condition: Condition) -> support::ConditionPlan {
+    Box::new(move |n, now| if n == upstream && now >= onset() { condition } else { WELL })
+}
+
+fn first_ejection(world: &World, upstream: usize) -> Option<Duration> {
+    let found = world.ejections().iter().find(|(_, n, _)| *n == upstream);
+    found.map(|(at, _, _)| at.since(onset()))
+}
+
+fn falsely_out(world: &World, bad: &[usize]) -> usize {
+    world.ejections().iter().filter(|(_, n, _)| !bad.contains(n)).count()
+}
+
+// Callers see three in ten of their calls at one upstream fail. It goes on answering probes. Its
+// peers do well on the same routes, so the evidence is against it alone, and the service has slots to
+// spare above its floor.
+#[gtest]
+fn row_09_an_upstream_that_fails_30_percent_is_ejected_and_the_floor_kept() {
+    for plan in plans(9) {
+        let floor = plan.rule.floor_slots;
+        let mut world = World::open(WorldPlan {
+            condition: one_bad(3, Condition { fail_share: 0.3, ..WELL }),
+            ..plan
+        });
+        world.run_seconds(30);
+        expect_that!(first_ejection(&world, 3), some(lt(Duration::from_secs(2))));
+        expect_that!(falsely_out(&world, &[3]), eq(0));
+        expect_that!(world.outcome.least_healthy_slots, ge(floor));
+        expect_that!(world.outcome.answered_share(), gt(0.99));
+    }
+}
+
+// Callers see most calls fail at each upstream, because something that all of them need is gone.
+// Ejecting would leave nothing, and tries of every failure would double the load on what is ill.
+#[gtest]
+fn row_10_all_fail_together_and_none_is_ejected_and_no_storm_follows() {
+    for fail_share in [0.5, 1.0] {
+        for plan in plans(10) {
+            let floor = plan.rule.floor_slots;
+            let condition = Condition { fail_share, ..WELL };
+            let bad = move |_, now| if now >= onset() { condition } else { WELL };
+            let mut world = World::open(WorldPlan { condition: Box::new(bad), ..plan });
+            world.run_seconds(40);
+            expect_that!(world.ejections().len(), le(1), "at a share of {fail_share}");
+            expect_that!(world.outcome.least_healthy_slots, ge(floor));
+            expect_that!(world.outcome.tries_per_call(), le(1.1));
+        }
+    }
+}
+
+// Callers of one upstream wait ten times as long. Long and short work are mixed at each upstream, so
+// times alone tell nothing: only those of peers on the same route do. Most of its calls are overtaken
+// by a second try and cancelled, so it hardly ever answers late itself.
+#[gtest]
+fn row_11_a_straggler_among_long_and_short_work_is_found_and_no_other() {
+    for plan in plans(11) {
+        let mut world = World::open(WorldPlan {
+            condition: one_bad(3, Condition { slow: 10.0, ..WELL }),
+            ..plan
+        });
+        world.run_seconds(60);
+        expect_that!(first_ejection(&world, 3), some(lt(Duration::from_secs(5))));
+        expect_that!(world.ejections()[0].2, eq(EjectReason::Latency));
+        expect_that!(falsely_out(&world, &[3]), eq(0));
+        expect_that!(world.outcome.answered_share(), gt(0.99));
+    }
+}
+
+// Callers are hurt each time an upstream that fails by turns takes work again. Its period is close to
+// the first time out, so each return meets the next bad time. A time out that grows leaves it out for
+// longer and longer.
+#[gtest]
+fn row_12_flapping_is_given_a_growing_time_out() {
+    for plan in plans(12) {
+        let bad = |n, now: Moment| {
+            let second = now.as_micros() / 1_000_000;
+            if n == 3 && second % 20 >= 10 { Condition { fail_share: 1.0, ..WELL } } else { WELL }
+        };
+        let mut world = World::open(WorldPlan { condition: Box::new(bad), ..plan });
+        world.run_seconds(600);
+        let hurt = &world.outcome.hurt_by_second;
+        let sum = |from: usize, to: usize| {
+            hurt[from.min(hurt.len())..to.min(hurt.len())].iter().sum::<u64>()
+        };
+        let (first, last) = (sum(0, 120), sum(480, 600));
+        expect_that!(last * 3, le(first), "hurt in the first and the last two minutes");
+        expect_that!(falsely_out(&world, &[3]), eq(0));
+    }
+}
+
+fn fail_on(bad: &[usize]) -> impl FnMut(usize, usize) -> OutcomeClass {
+    let bad = bad.to_vec();
+    move |_, upstream| {
+        if bad.contains(&upstream) { OutcomeClass::ErrorAnswer } else { OutcomeClass::Success }
+    }
+}
+
+/// A placer of eight upstreams with four slots, two of them ejected, which leaves just the floor.
+fn at_the_floor() -> Direct {
+    let rule = ServiceRule { floor_slots: 24, ejection_ms: 60_000, ..ServiceRule::default() };
+    let mut direct = Direct::open(rule, 8, 4);
+    let actions = direct.run_calls(400, fail_on(&[1, 2]));
+    assert_eq!(ejected(&actions), [1, 2], "both fail and both can be spared");
+    direct
+}
+
+// Two upstreams are out for good reason and the rest is just the floor. Then a healthy one dies and
+// its lease runs out. Callers would be refused for want of slots while two upstreams that work in
+// part stand idle: one of the two is back in the same decision.
+#[gtest]
+fn row_13_floor_reached_then_another_dies() {
+    let mut direct = at_the_floor();
+    direct.renew([0, 1, 2, 3, 4, 5, 6], 4);
+    let mut actions = direct.pass(1_000);
+    direct.renew([0, 1, 2, 3, 4, 5, 6], 4);
+    actions.extend(direct.pass(700));
+    expect_that!(returned(&actions).len(), eq(1));
+    expect_that!(direct.placer.capacity().healthy_slots, ge(24));
+}
+
+// The same, but the healthy one leaves as planned, and then another: both ejected ones are back.
+#[gtest]
+fn row_13_floor_reached_then_two_leave() {
+    let mut direct = at_the_floor();
+    for (leaving, back) in [(5, 1), (6, 2)] {
+        let mut announcement = build::announcement(leaving, leaving % 4, 4);
+        announcement.state = model::announcement::UpstreamState::Leaving;
+        announcement.sequence = 99;
+        let mut actions = Vec::new();
+        direct.placer.announce(&announcement, direct.now, &mut actions);
+        expect_that!(returned(&actions).len(), eq(1));
+        let healthy = direct.placer.health().filter(|row| row.1 == UpstreamHealth::Healthy).count();
+        expect_that!(healthy, eq(6), "after {back} returned");
+    }
+}
+
+// The floor protects a bad upstream: callers still get what it can do, but only when nothing else is
+// free, and it is not ejected.
+#[gtest]
+fn row_13_a_bad_upstream_at_the_floor_stays_and_is_used_last() {
+    let mut direct = at_the_floor();
+    let actions = direct.run_calls(300, fail_on(&[3]));
+    expect_that!(ejected(&actions), is_empty());
+    let first: Vec<usize> =
+        (0..18).map(|_| build::upstream_number(&direct.ask().grant().upstream)).collect();
+    expect_that!(first, not(contains(eq(&3))));
+}
+
+// One machine cannot reach one upstream, which works for the other 39. Callers that come through that
+// machine are hurt until it routes round; an ejection would take the upstream from all.
+#[gtest]
+fn row_16_a_bad_path_from_one_entry_ejects_nothing() {
+    let mut direct = Direct::open(build::guild_rule(12), 12, 4);
+    let broken = |entry, upstream| {
+        if entry == 7 && upstream % 4 == 3 {
+            OutcomeClass::ConnectFailure
+        } else {
+            OutcomeClass::Success
+        }
+    };
+    let actions = direct.run_calls(8_000, broken);
+    expect_that!(ejected(&actions), is_empty());
+}
+
+// A whole failure domain of entries has lost its path to one upstream.
+#[gtest]
+fn row_16_a_bad_path_from_one_domain_ejects_nothing_and_is_routed_round() {
+    let mut direct = Direct::open(build::guild_rule(12), 12, 4);
+    let mut met = 0;
+    let actions = direct.run_calls(8_000, |entry, upstream| {
+        let broken = entry % 4 == 1 && upstream == 1;
+        met += u32::from(broken);
+        if broken { OutcomeClass::ConnectFailure } else { OutcomeClass::Success }
+    });
+    expect_that!(ejected(&actions), is_empty());
+    expect_that!(met, lt(40), "about 170 of that domain's calls would go there");
+}
+
+// One request kills whatever runs it. Its caller sends it again and again through other VMs. Each
+// crash takes other callers' calls with it, until the request itself is refused everywhere.
+#[gtest]
+fn row_23_a_request_that_crashes_upstreams_takes_at_most_two() {
+    for plan in plans(23) {
+        let poison = 4_711;
+        let mut world = World::open(WorldPlan { poison: Some(poison), ..plan });
+        world.run_seconds(5);
+        for resend in 0..60 {
+            world.send(resend % 36, poison);
+            let pause = Duration::from_millis(if resend.is_multiple_of(3) { 1 } else { 700 });
+            world.run_until(world.now + pause);
+        }
+        expect_that!(world.outcome.crashes, le(2));
+        expect_that!(world.outcome.poisoned, eq(1));
+        expect_that!(world.outcome.answered_share(), gt(0.99));
+        expect_that!(world.ejections(), is_empty());
+    }
+}
+
+// A failure domain loses power while one popular page is in flight at each of its upstreams. The page
+// was in flight at three crashes, and yet is as innocent as the rest.
+#[gtest]
+fn row_23_a_popular_request_in_a_lost_domain_is_not_refused() {
+    let mut direct = Direct::open(ServiceRule::default(), 12, 4);
+    let popular = 5;
+    let grants: Vec<_> = (0..12)
+        .map(|entry| direct.ask_from(entry, |ask| ask.fingerprint.0 = popular).grant())
+        .collect();
+    for grant in grants.iter().filter(|g| build::upstream_number(&g.upstream).is_multiple_of(4)) {
+        direct.settle_as(grant, popular, OutcomeClass::Crash, 20);
+    }
+    direct.pass(1_200);
+    direct.renew(0..12, 4);
+    let refused = |reason| reason == RefusalReason::Poisonous;
+    match direct.ask_from(0, |ask| ask.fingerprint.0 = popular) {
+        support::direct::Answer::Refusal(refusal) => {
+            expect_that!(refused(refusal.reason) && refusal.retry_after_ms > 5_000, eq(false));
+        }
+        answer => expect_that!(answer.is_queued(), eq(false)),
+    }
+}
+
+// Ten times what the service can do arrives, and one caller sends half of all. Nobody's call may wait
+// for nothing: what cannot be in time is told so at once, with when to come back, and the other
+// callers' share is as large as the noisy one's.
+#[gtest]
+fn row_25_a_burst_with_one_caller_sending_half_is_refused_early_and_shared_fairly() {
+    for plan in plans(25) {
+        let burst = |now| if now >= onset() { 7_000.0 } else { 400.0 };
+        let mut callers = vec![0.05; 11];
+        callers[0] = 0.5;
+        let mut world = World::open(WorldPlan { rate: Box::new(burst), callers, ..plan });
+        world.run_seconds(10);
+        let before: Vec<u64> = world.outcome.callers.iter().map(|c| c.answered).collect();
+        world.run_seconds(20);
+        let outcome = &world.outcome;
+        let answered: Vec<u64> =
+            outcome.callers.iter().zip(before).map(|(c, before)| c.answered - before).collect();
+        let least = answered[1..].iter().min().copied().unwrap_or(0);
+        expect_that!(
+            answered[0],
+            le(least * 3 / 2),
+            "the noisy caller and the least of the others"
+        );
+        expect_that!(outcome.waiting_at_deadline, eq(0), "calls held back until their deadline");
+        expect_that!(outcome.total().late * 1_000, le(outcome.total().answered));
+        let early =
+            outcome.refusals.iter().filter(|(_, left, _)| *left > Duration::from_millis(1_000));
+        expect_that!(early.count() * 100, ge(outcome.refusals.len() * 99));
+        expect_that!(answered.iter().sum::<u64>() as f64, gt(20.0 * 600.0), "slots kept in use");
+        expect_that!(world.ejections(), is_empty());
+    }
+}
+
+// A third of the upstreams starts at the peak. For ten seconds each answers five times slower. Full
+// shares would make their callers late; judged by their peers' times they would all be out.
+#[gtest]
+fn row_26_a_third_starts_cold_at_the_peak_and_none_is_ejected() {
+    for plan in plans(26) {
+        let cold = |n: usize, now: Moment| {
+            let slow = if n.is_multiple_of(3) && now < onset() { 5.0 } else { 1.0 };
+            Condition { slow, ..WELL }
+        };
+        let upstreams = plan.upstreams;
+        let mut world = World::open(WorldPlan {
+            condition: Box::new(cold),
+            age_ms: Box::new(|n| if n.is_multiple_of(3) { 0 } else { 3_600_000 }),
+            ..plan
+        });
+        world.run_until(Moment::from_millis(2_000));
+        let colds = (0..upstreams).step_by(3);
+        let given: u64 = colds.clone().map(|n| world.outcome.given[n]).sum();
+        let all: u64 = world.outcome.given.iter().sum();
+        expect_that!(given * 5, lt(all), "a third at full share would be given a third");
+        expect_that!(health_of(&world.placer, 0), some(eq(UpstreamHealth::Cold)));
+        world.run_until(Moment::from_millis(30_000));
+        expect_that!(world.ejections(), is_empty());
+        expect_that!(health_of(&world.placer, 0), some(eq(UpstreamHealth::Healthy)));
+        expect_that!(world.outcome.answered_share(), gt(0.97));
+    }
+}
+
+// Two things at once, and each twice: a failure domain is lost while another upstream fails 30%; it
+// comes back and is lost again; a straggler shows up; a poisonous request goes round.
+#[gtest]
+fn row_28_two_failures_at_once_and_each_twice() {
+    for plan in plans(28) {
+        let floor = plan.rule.floor_slots;
+        let bad = |n: usize, now: Moment| {
+            let second = now.as_micros() / 1_000_000;
+            let lost =
+                n.is_multiple_of(4) && (matches!(second, 15..25) || matches!(second, 40..50));
+            let gray = n == 3 && (matches!(second, 12..30) || matches!(second, 42..60));
+            let slow = if n == 5 && second >= 20 { 10.0 } else { 1.0 };
+            Condition { up: !lost, fail_share: if gray { 0.3 } else { 0.0 }, slow }
+        };
+        let rate = Box::new(|_| 350.0);
+        let mut world =
+            World::open(WorldPlan { condition: Box::new(bad), rate, poison: Some(9), ..plan });
+        for second in 0..70 {
+            world.run_seconds(1);
+            if second > 30 {
+                world.send(second % 36, 9);
+            }
+        }
+        let lost = [0, 4, 8];
+        expect_that!(falsely_out(&world, &[0, 3, 4, 5, 8]), eq(0));
+        expect_that!(world.outcome.crashes, le(2));
+        expect_that!(world.outcome.least_healthy_slots, ge(floor));
+        expect_that!(world.outcome.answered_share(), gt(0.97));
+        expect_that!(world.outcome.tries_per_call(), le(1.12), "lost {lost:?}");
+    }
+}
+
+// The same message twice: a settle that is sent again frees its slot once.
+#[gtest]
+fn row_28_a_settle_sent_twice_counts_once() {
+    let mut direct = Direct::open(ServiceRule::default(), 1, 1);
+    let first = direct.ask().grant();
+    direct.settle(&first, OutcomeClass::Success);
+    let second = direct.ask().grant();
+    let actions = direct.settle(&first, OutcomeClass::Success);
+    expect_that!(actions, is_empty());
+    expect_that!(direct.placer.row().busy, eq(1));
+    expect_that!(direct.ask().is_queued(), eq(true));
+    let granted = direct.settle(&second, OutcomeClass::Success);
+    expect_that!(granted, contains(matches_pattern!(PlacerAction::Grant { .. })));
+}
