--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -11,12 +11,17 @@
     entry::{CallEntry, EntryParts},
     server::{CallerError, CallerServer},
 };
-use control::handle::ControlHandle;
+use control::{fault::ControlError, handle::ControlHandle, settings::ReplicaSettings};
 use fleet::{driver::FleetError, handle::FleetNode, settings::FleetSettings};
 use log::info;
 use model::numbers::{ConfigNumber, IncarnationNumber};
 use operator::server::{OperatorError, OperatorServer};
-use platform::server::{PlatformError, PlatformServer, ReadyState, ReadySwitch};
+use platform::{
+    metered::{MeteredLedger, MeteredSlots},
+    metrics::{FleetMetrics, MetricsError},
+    ready::{ReadyState, ReadySwitch},
+    server::{PlatformError, PlatformPages, PlatformServer},
+};
 use snafu::{ResultExt, Snafu};
 use upstream::{
     announce::{AnnounceError, AnnounceServer},
@@ -32,6 +37,12 @@
         /// Why.
         source: FleetError,
     },
+    /// The replicas.
+    #[snafu(transparent)]
+    Control {
+        /// Why.
+        source: ControlError,
+    },
     /// The callers' side.
     #[snafu(transparent)]
     Caller {
@@ -56,6 +67,12 @@
         /// Why.
         source: PlatformError,
     },
+    /// The metrics.
+    #[snafu(transparent)]
+    Metrics {
+        /// Why.
+        source: MetricsError,
+    },
     /// The clock is set before 1970.
     #[snafu(display("the clock is set before 1970: {source}"))]
     Clock {
@@ -83,25 +100,26 @@
     pub async fn spawn(settings: &DaemonSettings) -> Result<Self, DaemonError> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).context(ClockSnafu)?;
         let started_us = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
-        let control = settings.data.as_ref().map(|_| ControlHandle::open_in_memory());
+        let control = open_replicas(settings, started_us)?;
         let fleet = FleetNode::spawn(fleet_settings(settings, started_us), control)?;
         let port = Arc::new(fleet.clone());
+        let metrics = FleetMetrics::open()?;
         let entry = Arc::new(CallEntry::new(EntryParts {
-            slots: port.clone(),
-            ledger: port.clone(),
+            slots: Arc::new(MeteredSlots::new(port.clone(), metrics.clone())),
+            ledger: Arc::new(MeteredLedger::new(port.clone(), metrics.clone())),
             pool: ConnectionPool::new(),
             config: fleet.config_in_force(),
             domain: settings.domain.clone(),
-            claimant: started_us << 20,
         }));
         let announce_secret = settings.announce_secret.clone();
         let announce =
             AnnounceServer::bind(settings.announce_listen, announce_secret, port.clone()).await?;
         let operator_secret = settings.operator_secret.clone();
         let operators =
-            OperatorServer::bind(settings.operator_listen, operator_secret, port).await?;
+            OperatorServer::bind(settings.operator_listen, operator_secret, port.clone()).await?;
         let ready = ReadySwitch::default();
-        let platform = PlatformServer::bind(settings.platform_listen, ready.clone()).await?;
+        let pages = PlatformPages { ready: ready.clone(), metrics, port };
+        let platform = PlatformServer::bind(settings.platform_listen, pages).await?;
         let callers = CallerServer::bind(settings.caller_listen, entry).await?;
         tokio::spawn(report_ready(fleet.clone(), ready.clone()));
         Ok(Self { fleet, callers, announce, operators, platform, ready })
@@ -138,11 +156,15 @@
         let _ = self.fleet.watch_drain().wait_for(|&asked| asked).await;
     }
 
+    /// Ends at once and without a word, as a crash would. For tests of failures.
+    pub fn kill(self) {}
+
     /// Stops as planned: has the balancer send calls elsewhere, hands over duties, finishes what is
     /// in flight, ends.
     pub async fn stop(self) {
         info!("planned stop");
         self.ready.set(ReadyState::Stopping);
+        self.callers.begin_closing();
         self.fleet.begin_drain();
         let lame_duck = self.fleet.config_in_force().load().settings().lame_duck_ms;
         tokio::time::sleep(Duration::from_millis(u64::from(lame_duck))).await;
@@ -151,6 +173,18 @@
     }
 }
 
+/// Opens the replicas of a VM with a data folder, as the only founder.
+fn open_replicas(
+    settings: &DaemonSettings,
+    seed: u64,
+) -> Result<Option<ControlHandle>, ControlError> {
+    let Some(folder) = settings.data.clone() else { return Ok(None) };
+    let (member, founders) = (settings.member.clone(), vec![settings.member.clone()]);
+    let (handle, _packets) =
+        ControlHandle::open(ReplicaSettings { member, folder, founders, seed })?;
+    Ok(Some(handle))
+}
+
 fn fleet_settings(settings: &DaemonSettings, started_us: u64) -> FleetSettings {
     FleetSettings {
         member: settings.member.clone(),
@@ -164,9 +198,7 @@
 
 async fn report_ready(fleet: FleetNode, ready: ReadySwitch) {
     let mut number = fleet.watch_number();
-    if number.wait_for(|&number| number > ConfigNumber::default()).await.is_ok()
-        && ready.get() == ReadyState::Starting
-    {
+    if number.wait_for(|&number| number > ConfigNumber::default()).await.is_ok() {
         ready.set(ReadyState::Ready);
     }
 }
