--- a/crates/control/tests/world/client.rs
+++ b/crates/control/tests/world/client.rs
@@ -68,6 +68,10 @@
         self.asked.insert(number, (request, self.acknowledged));
     }
 
+    pub fn asked(&self, number: RequestNumber) -> bool {
+        self.asked.contains_key(&number)
+    }
+
     pub fn draw(&mut self, random: &mut Pcg64Mcg, wall_ms: u64) -> GroupRequest {
         if self.group != GroupNumber::CONFIG {
             return GroupRequest::Command(self.draw_ledger(random, wall_ms));
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses its part")]
 
+pub mod asks;
 pub mod client;
 
 use std::{
@@ -12,7 +13,8 @@
 
 use client::WorldClient;
 use control::{
-    group::{GroupReplica, GroupRequest, RequestNumber},
+    fault::ReplicaFault,
+    group::{GroupAnswer, GroupReplica, GroupRequest, RequestNumber},
     replica::{
         core::{CoreOutput, CoreParts, OutMessage},
         entry::{EntryBody, LogEntry, ReplicaId, SeatList},
@@ -51,6 +53,32 @@
     pub out: OutMessage,
 }
 
+/// A fault that comes once, at a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StepFault {
+    LoseMessage,
+    DoubleMessage,
+    DelayMessage,
+    BlockLink,
+    CrashSender,
+    CrashReceiver,
+    PauseSender,
+    PauseReceiver,
+    LoseReceiverDisk,
+    CrashBeforeSync,
+    CrashAfterSync,
+}
+
+/// When a fault comes.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedFault {
+    pub fault: StepFault,
+    /// How many messages or syncs are left before it.
+    pub left: usize,
+    /// The clock at which a delayed message arrives.
+    pub until: Moment,
+}
+
 /// A group of replicas.
 pub struct World {
     pub random: Pcg64Mcg,
@@ -58,14 +86,19 @@
     pub now: Moment,
     pub nodes: Vec<WorldNode>,
     pub flights: Vec<Flight>,
+    pub delayed: Vec<(Moment, Flight)>,
     pub blocked: BTreeSet<(MemberName, MemberName)>,
     pub client: WorldClient,
     pub leaders: BTreeMap<u64, ReplicaId>,
     pub committed: BTreeMap<u64, LogEntry>,
     pub digests: BTreeMap<u64, (u64, u64)>,
     pub checked: BTreeMap<ReplicaId, u64>,
+    /// The ends of requests that a test made itself.
+    pub ends: BTreeMap<RequestNumber, Result<GroupAnswer, ReplicaFault>>,
     /// The chance of a crash at each sync, in percent.
     pub crash_percent: u32,
+    /// A fault to come at a step, counted in messages and syncs.
+    pub planned: Option<PlannedFault>,
     lost_disk: Option<usize>,
     next_id: u64,
 }
@@ -89,13 +122,16 @@
             now: Moment::from_millis(1_000),
             nodes,
             flights: Vec::new(),
+            delayed: Vec::new(),
             blocked: BTreeSet::new(),
             client: WorldClient::open(group),
             leaders: BTreeMap::new(),
             committed: BTreeMap::new(),
             digests: BTreeMap::new(),
             checked: BTreeMap::new(),
+            ends: BTreeMap::new(),
             crash_percent: 1,
+            planned: None,
             lost_disk: None,
             next_id: 100,
         };
@@ -173,6 +209,9 @@
         if !self.runs(to) || !meant || self.blocked.contains(&link) {
             return;
         }
+        if !self.meets_message_fault(&flight, to) {
+            return;
+        }
         let now = self.moment(to);
         let replica = self.nodes[to].replica.as_mut().unwrap();
         let message: ReplicaMessage = flight.out.message;
@@ -201,12 +240,13 @@
     fn carry_out(&mut self, index: usize, output: CoreOutput) -> bool {
         self.post(index, output.early.clone());
         if output.needs_sync() {
-            if self.draws_crash() {
+            let fault = self.meets_sync_fault();
+            if self.draws_crash() || fault == Some(StepFault::CrashBeforeSync) {
                 self.crash(index);
                 return false;
             }
             self.sync(index, &output);
-            if self.draws_crash() {
+            if self.draws_crash() || fault == Some(StepFault::CrashAfterSync) {
                 self.crash(index);
                 return false;
             }
@@ -217,6 +257,92 @@
         true
     }
 
+    fn meets_fault(&mut self, kind: impl Fn(StepFault) -> bool) -> Option<StepFault> {
+        let planned = self.planned.as_mut().filter(|planned| kind(planned.fault))?;
+        if planned.left > 0 {
+            planned.left -= 1;
+            return None;
+        }
+        let fault = planned.fault;
+        self.planned = None;
+        Some(fault)
+    }
+
+    fn meets_sync_fault(&mut self) -> Option<StepFault> {
+        use StepFault::{CrashAfterSync, CrashBeforeSync};
+        self.meets_fault(|fault| matches!(fault, CrashAfterSync | CrashBeforeSync))
+    }
+
+    /// Brings about the planned fault if this is its message. Returns whether it is delivered now.
+    fn meets_message_fault(&mut self, flight: &Flight, to: usize) -> bool {
+        use StepFault as F;
+        let until = self.planned.map(|planned| planned.until);
+        let is_sync = |fault| matches!(fault, F::CrashAfterSync | F::CrashBeforeSync);
+        let Some(fault) = self.meets_fault(|fault| !is_sync(fault)) else { return true };
+        let from = self.nodes.iter().position(|node| node.member == flight.from).unwrap();
+        match fault {
+            F::LoseMessage => return false,
+            F::DoubleMessage => self.flights.insert(0, flight.clone()),
+            F::DelayMessage => {
+                self.delayed.push((until.unwrap(), flight.clone()));
+                return false;
+            }
+            F::BlockLink => {
+                self.blocked.insert((flight.from.clone(), flight.out.to.clone()));
+                return false;
+            }
+            F::CrashSender => self.crash(from),
+            F::CrashReceiver => {
+                self.crash(to);
+                return false;
+            }
+            F::PauseSender => self.nodes[from].paused = true,
+            F::PauseReceiver => {
+                self.nodes[to].paused = true;
+                return false;
+            }
+            F::LoseReceiverDisk => {
+                self.lose_disk(to);
+                self.start(to);
+                return false;
+            }
+            F::CrashBeforeSync | F::CrashAfterSync => (),
+        }
+        true
+    }
+
+    /// Asks a replica and lets time pass until the end is there, at most for a time.
+    pub fn call(
+        &mut self,
+        index: usize,
+        request: GroupRequest,
+        millis: u64,
+    ) -> Option<Result<GroupAnswer, ReplicaFault>> {
+        if !self.runs(index) {
+            return None;
+        }
+        let number = self.request(index, request);
+        self.flush(index);
+        let until = self.now + Duration::from_millis(millis);
+        while !self.ends.contains_key(&number) && self.now < until {
+            self.settle(25);
+        }
+        self.ends.remove(&number)
+    }
+
+    /// Asks whoever leads, again and again, as a caller does who got no answer.
+    pub fn call_leader(&mut self, request: &GroupRequest) -> GroupAnswer {
+        for _ in 0..40 {
+            if let Some(index) = self.leader()
+                && let Some(Ok(answer)) = self.call(index, request.clone(), 2_000)
+            {
+                return answer;
+            }
+            self.settle(200);
+        }
+        panic!("no answer\n{}", self.dump());
+    }
+
     fn draws_crash(&mut self) -> bool {
         self.random.random_range(0..100) < self.crash_percent
     }
@@ -256,7 +382,10 @@
     pub fn collect(&mut self, index: usize) {
         let Some(replica) = self.nodes[index].replica.as_mut() else { return };
         for (number, end) in replica.take_answers() {
-            self.client.on_end(&mut self.random, number, end);
+            match self.client.asked(number) {
+                true => self.client.on_end(&mut self.random, number, end),
+                false => drop(self.ends.insert(number, end)),
+            }
         }
     }
 
@@ -380,13 +509,27 @@
         }
     }
 
-    pub fn step_snapshot(&mut self) {
+    fn step_snapshot(&mut self) {
         if let Some(index) = self.any_running() {
-            let replica = self.nodes[index].replica.as_mut().unwrap();
-            if let Some(image) = replica.image() {
-                replica.compact(image);
+            self.compact(index);
+        }
+    }
+
+    pub fn compact(&mut self, index: usize) {
+        let replica = self.nodes[index].replica.as_mut().unwrap();
+        if let Some(image) = replica.image() {
+            replica.compact(image);
+        }
+        self.flush(index);
+    }
+
+    /// Starts each VM that crashed and wakes each that was paused.
+    pub fn restart_all(&mut self) {
+        for index in 0..self.nodes.len() {
+            self.nodes[index].paused = false;
+            if self.nodes[index].replica.is_none() {
+                self.start(index);
             }
-            self.flush(index);
         }
     }
 
@@ -470,6 +613,9 @@
         let until = self.now + Duration::from_millis(millis);
         while self.now < until {
             self.advance(25);
+            let now = self.now;
+            let due = self.delayed.extract_if(.., |(at, _)| *at <= now);
+            self.flights.extend(due.map(|(_, flight)| flight));
             for _ in 0..2_000 {
                 if self.flights.is_empty() {
                     break;
