--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -83,6 +83,7 @@
     origin: Instant,
     groups: BTreeMap<GroupNumber, GroupRunner>,
     waiting: HashMap<RequestNumber, AnswerSender>,
+    stored: Vec<(AnswerSender, Result<GroupAnswer, ReplicaFault>)>,
     next_request: u64,
     forget_at: Instant,
 }
@@ -104,6 +105,7 @@
             origin: Instant::now(),
             groups: BTreeMap::new(),
             waiting: HashMap::new(),
+            stored: Vec::new(),
             next_request: 0,
             forget_at: Instant::now(),
         };
@@ -217,7 +219,8 @@
             DriverAsk::Close(close) => GroupRequest::Command(StateCommand::Close { view, close }),
             DriverAsk::Snapshot => {
                 let index = runner.snapshot()?;
-                reply(answer, index.map(GroupAnswer::Confirmed));
+                // The log is written anew by the flush that follows.
+                self.stored.push((answer, index.map(GroupAnswer::Confirmed)));
                 return Ok(());
             }
         };
@@ -268,15 +271,22 @@
     }
 
     fn flush(&mut self) -> Result<(), ControlError> {
+        let mut ends = Vec::new();
         for runner in self.groups.values_mut() {
             let now = Moment::ZERO + self.origin.elapsed();
-            for (number, end) in runner.flush(now)? {
-                if let Some(answer) = self.waiting.remove(&number) {
-                    reply(answer, end);
-                }
+            ends.append(&mut runner.flush(now)?);
+        }
+        // Whoever gets an answer finds what it says in the views.
+        self.publish()?;
+        for (number, end) in ends {
+            if let Some(answer) = self.waiting.remove(&number) {
+                reply(answer, end);
             }
         }
-        self.publish()
+        for (answer, end) in self.stored.drain(..) {
+            reply(answer, end);
+        }
+        Ok(())
     }
 
     fn publish(&mut self) -> Result<(), ControlError> {
--- a/crates/control/tests/vm/mod.rs
+++ b/crates/control/tests/vm/mod.rs
@@ -30,6 +30,7 @@
     names::MemberName,
     numbers::{ConfigNumber, GroupNumber},
     patch::{ConfigPatch, PatchResult},
+    ports::ReplicaChange,
     report::ReplicaRole,
 };
 use tokio::sync::mpsc;
@@ -76,6 +77,7 @@
 }
 
 type Handles = Arc<Mutex<BTreeMap<MemberName, ControlHandle>>>;
+type LostGroups = Arc<Mutex<BTreeSet<GroupNumber>>>;
 type Links = Arc<Mutex<BTreeSet<(MemberName, MemberName)>>>;
 
 /// Several VMs and the network between them.
@@ -84,6 +86,7 @@
     founders: Vec<String>,
     handles: Handles,
     deaf: Links,
+    lost_groups: LostGroups,
 }
 
 impl TestVms {
@@ -93,6 +96,7 @@
             founders: founders.iter().map(|&name| name.to_owned()).collect(),
             handles: Handles::default(),
             deaf: Links::default(),
+            lost_groups: LostGroups::default(),
         };
         for name in founders {
             vms.start(name);
@@ -112,14 +116,10 @@
         handle
     }
 
-    pub fn add(
-        &self,
-        name: &str,
-        handle: ControlHandle,
-        packets: mpsc::Receiver<ReplicaPacket>,
-    ) {
+    pub fn add(&self, name: &str, handle: ControlHandle, packets: mpsc::Receiver<ReplicaPacket>) {
         self.handles.lock().unwrap().insert(name.parse().unwrap(), handle);
-        tokio::spawn(carry(packets, self.handles.clone(), self.deaf.clone()));
+        let (deaf, lost) = (self.deaf.clone(), self.lost_groups.clone());
+        tokio::spawn(carry(packets, self.handles.clone(), deaf, lost));
     }
 
     /// Ends a VM as a crash would.
@@ -136,6 +136,25 @@
         self.deaf.lock().unwrap().insert((from.parse().unwrap(), to.parse().unwrap()));
     }
 
+    /// Loses each packet of a group from now on.
+    pub fn lose_group(&self, group: GroupNumber) {
+        self.lost_groups.lock().unwrap().insert(group);
+    }
+
+    /// Changes the replicas of a group, asking again until it is done.
+    pub async fn change(&self, group: GroupNumber, change: &ReplicaChange) {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let leader = self.wait_leader(group).await;
+            let handle = self.handle(&leader);
+            match handle.change_replicas(group, change.clone(), WITHIN).await {
+                Ok(()) => return,
+                Err(fault) => assert!(Instant::now() < until, "{fault}"),
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     pub fn unblock(&self) {
         self.deaf.lock().unwrap().clear();
     }
@@ -189,12 +208,18 @@
     }
 }
 
-async fn carry(mut packets: mpsc::Receiver<ReplicaPacket>, handles: Handles, deaf: Links) {
+async fn carry(
+    mut packets: mpsc::Receiver<ReplicaPacket>,
+    handles: Handles,
+    deaf: Links,
+    lost: LostGroups,
+) {
     while let Some(packet) = packets.recv().await {
         let link = (packet.from.clone(), packet.to.clone());
         let receiver = handles.lock().unwrap().get(&packet.to).cloned();
         if let Some(receiver) = receiver
             && !deaf.lock().unwrap().contains(&link)
+            && !lost.lock().unwrap().contains(&packet.group)
         {
             receiver.receive(packet);
         }
