--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,7 +16,12 @@
 use log::info;
 use model::numbers::{ConfigNumber, IncarnationNumber};
 use operator::server::{OperatorError, OperatorServer};
-use platform::server::{PlatformError, PlatformServer, ReadyState, ReadySwitch};
+use platform::{
+    metered::{MeteredLedger, MeteredSlots},
+    metrics::{FleetMetrics, MetricsError},
+    ready::{ReadyState, ReadySwitch},
+    server::{PlatformError, PlatformPages, PlatformServer},
+};
 use snafu::{ResultExt, Snafu};
 use upstream::{
     announce::{AnnounceError, AnnounceServer},
@@ -62,6 +67,12 @@
         /// Why.
         source: PlatformError,
     },
+    /// The metrics.
+    #[snafu(transparent)]
+    Metrics {
+        /// Why.
+        source: MetricsError,
+    },
     /// The clock is set before 1970.
     #[snafu(display("the clock is set before 1970: {source}"))]
     Clock {
@@ -92,22 +103,23 @@
         let control = open_replicas(settings, started_us)?;
         let fleet = FleetNode::spawn(fleet_settings(settings, started_us), control)?;
         let port = Arc::new(fleet.clone());
+        let metrics = FleetMetrics::open()?;
         let entry = Arc::new(CallEntry::new(EntryParts {
-            slots: port.clone(),
-            ledger: port.clone(),
+            slots: Arc::new(MeteredSlots::new(port.clone(), metrics.clone())),
+            ledger: Arc::new(MeteredLedger::new(port.clone(), metrics.clone())),
             pool: ConnectionPool::new(),
             config: fleet.config_in_force(),
             domain: settings.domain.clone(),
-            claimant: started_us << 20,
         }));
         let announce_secret = settings.announce_secret.clone();
         let announce =
             AnnounceServer::bind(settings.announce_listen, announce_secret, port.clone()).await?;
         let operator_secret = settings.operator_secret.clone();
         let operators =
-            OperatorServer::bind(settings.operator_listen, operator_secret, port).await?;
+            OperatorServer::bind(settings.operator_listen, operator_secret, port.clone()).await?;
         let ready = ReadySwitch::default();
-        let platform = PlatformServer::bind(settings.platform_listen, ready.clone()).await?;
+        let pages = PlatformPages { ready: ready.clone(), metrics, port };
+        let platform = PlatformServer::bind(settings.platform_listen, pages).await?;
         let callers = CallerServer::bind(settings.caller_listen, entry).await?;
         tokio::spawn(report_ready(fleet.clone(), ready.clone()));
         Ok(Self { fleet, callers, announce, operators, platform, ready })
@@ -144,11 +156,15 @@
         let _ = self.fleet.watch_drain().wait_for(|&asked| asked).await;
     }
 
+    /// Ends at once and without a word, as a crash would. For tests of failures.
+    pub fn kill(self) {}
+
     /// Stops as planned: has the balancer send calls elsewhere, hands over duties, finishes what is
     /// in flight, ends.
     pub async fn stop(self) {
         info!("planned stop");
         self.ready.set(ReadyState::Stopping);
+        self.callers.begin_closing();
         self.fleet.begin_drain();
         let lame_duck = self.fleet.config_in_force().load().settings().lame_duck_ms;
         tokio::time::sleep(Duration::from_millis(u64::from(lame_duck))).await;
@@ -182,9 +198,7 @@
 
 async fn report_ready(fleet: FleetNode, ready: ReadySwitch) {
     let mut number = fleet.watch_number();
-    if number.wait_for(|&number| number > ConfigNumber::default()).await.is_ok()
-        && ready.get() == ReadyState::Starting
-    {
+    if number.wait_for(|&number| number > ConfigNumber::default()).await.is_ok() {
         ready.set(ReadyState::Ready);
     }
 }
