fleet: rules apart from sockets; proven members, epochs, leases, relays, leaders

Cause: the fleet gossiped its full state, took "A hears B" for reachability, placed without epochs, lost settles with their connections, asked replicas one after the other, and could be ended neither by its last handle nor by a test.

Change: pure rules with passed-in time (fact, store, rumour, ring, gossip, membership, directory, epoch, asks, grants, settles, feed, leader) and a control thread split by job around them. - Membership by echoes: three watchers on a ring, verdicts that are counted the same way everywhere, a VM contradicts; lost ones are forgotten. - Spread: rumours that stop when peers know them, repair by bucket digests. - Upstreams: changes are spread, renewals go to the placer, which keeps leases. - Slots: an entry obeys the greatest (epoch, member); a new placer recounts; ends are batched, resent until taken; a given-up ask is void in each order; revocations; one relay hop, then the entry's own share. - Configuration by differences with digests, image as repair, never back; not ready before several peers have told their number. - Replicas: packets carried in batches, calls follow the leader within their time, closes go on in the background. - kill() and the end of the last handle end the control thread.

Changed signature: FleetNode::spawn takes the replicas' packets as well; the daemon is adapted and its kill() ends the fleet node.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,7 +12,11 @@
     server::{CallerError, CallerServer},
 };
 use control::{fault::ControlError, handle::ControlHandle, settings::ReplicaSettings};
-use fleet::{driver::FleetError, handle::FleetNode, settings::FleetSettings};
+use fleet::{
+    driver::{FleetError, ReplicaPart},
+    handle::FleetNode,
+    settings::FleetSettings,
+};
 use log::info;
 use model::numbers::{ConfigNumber, IncarnationNumber};
 use operator::server::{OperatorError, OperatorServer};
@@ -144,7 +148,9 @@
     }
 
     /// Ends at once and without a word, as a crash would. For tests of failures.
-    pub fn kill(self) {}
+    pub fn kill(self) {
+        self.fleet.kill();
+    }
 
     /// Stops as planned: has the balancer send calls elsewhere, hands over duties, finishes what is
     /// in flight, ends.
@@ -164,12 +170,11 @@
 fn open_replicas(
     settings: &DaemonSettings,
     seed: u64,
-) -> Result<Option<ControlHandle>, ControlError> {
+) -> Result<Option<ReplicaPart>, ControlError> {
     let Some(folder) = settings.data.clone() else { return Ok(None) };
     let (member, founders) = (settings.member.clone(), vec![settings.member.clone()]);
-    let (handle, _packets) =
-        ControlHandle::open(ReplicaSettings { member, folder, founders, seed })?;
-    Ok(Some(handle))
+    let part = ControlHandle::open(ReplicaSettings { member, folder, founders, seed })?;
+    Ok(Some(part))
 }
 
 fn fleet_settings(settings: &DaemonSettings, started_us: u64) -> FleetSettings {
--- /dev/null
+++ b/crates/fleet/src/driver/fallback.rs
@@ -0,0 +1,123 @@
+//! Placing without a placer in reach, by this entry's own counts.
+
+use std::collections::btree_map::Entry;
+
+use super::FleetDriver;
+use crate::fact::{FleetFact, NoticeSubject, UpstreamFact};
+use decide::fallback::{FallbackPlacer, FallbackSettings};
+use log::info;
+use model::{
+    announcement::UpstreamAnnouncement,
+    call::CallRefusal,
+    moment::Moment,
+    names::{ServiceName, UpstreamName},
+    numbers::PlacerEpoch,
+    slot::{SlotAsk, SlotGrant, SlotSettle},
+};
+
+/// Returns the announcement as the floor's guard takes it.
+///
+/// The lease is kept by the placer's VM, so here an upstream holds until its end is heard. The guard
+/// knows no end, only leases and their order: an ended one is a renewal whose lease is over.
+fn guarded(fact: &UpstreamFact) -> UpstreamAnnouncement {
+    let sequence = fact.announcement.sequence.saturating_mul(2) + u64::from(fact.ended);
+    let lease_ms = if fact.ended { 0 } else { u32::MAX };
+    UpstreamAnnouncement { sequence, lease_ms, ..fact.announcement.clone() }
+}
+
+impl FleetDriver {
+    /// Grants a slot of this entry's own share.
+    pub(crate) fn place_alone(&mut self, ask: &SlotAsk) -> Result<SlotGrant, CallRefusal> {
+        let now = self.now();
+        let held = self.shared.book().held(&ask.service, now);
+        let view = self.shared.view.load_full();
+        let entries: Vec<_> = view.reachable().map(|(member, _)| member.clone()).collect();
+        let fallback = self.fallback(&ask.service, now);
+        fallback.set_entries(&entries);
+        for grant in &held {
+            fallback.hold(grant, now);
+        }
+        let placed = fallback.place(ask, now);
+        match &placed {
+            Ok(grant) => info!(
+                call:% = ask.call, service:% = ask.service, upstream:% = grant.upstream,
+                reason = "no placer in reach";
+                "granted"
+            ),
+            Err(refusal) => info!(
+                call:% = ask.call, service:% = ask.service, reason:% = refusal.reason;
+                "refused without a placer"
+            ),
+        }
+        placed
+    }
+
+    fn fallback(&mut self, service: &ServiceName, now: Moment) -> &mut FallbackPlacer {
+        let rule = self.shared.config.load().service(service).cloned();
+        let floor_slots = rule.map_or(0, |rule| rule.floor_slots);
+        match self.fallbacks.entry(service.clone()) {
+            Entry::Occupied(held) => held.into_mut(),
+            Entry::Vacant(place) => {
+                let settings = FallbackSettings {
+                    entry: self.shared.member.clone(),
+                    epoch: PlacerEpoch::default(),
+                    floor_slots,
+                };
+                let mut fallback = FallbackPlacer::open(settings);
+                for fact in self.gossip.store().facts() {
+                    match fact {
+                        FleetFact::Upstream(fact) if fact.announcement.service == *service => {
+                            fallback.guard().announce(&guarded(fact), now);
+                        }
+                        // Facts are listed by key: each upstream comes before the notices.
+                        FleetFact::Notice(notice) if notice.holds => {
+                            let left = self.gossip.store().left(&fact.key(), now);
+                            if let NoticeSubject::Ejection { service: of, upstream } =
+                                &notice.subject
+                                && of == service
+                            {
+                                fallback.guard().eject(upstream, now + left, now);
+                            }
+                        }
+                        _ => (),
+                    }
+                }
+                place.insert(fallback)
+            }
+        }
+    }
+
+    pub(super) fn announce_to_fallback(&mut self, fact: &UpstreamFact, now: Moment) {
+        if let Some(fallback) = self.fallbacks.get_mut(&fact.announcement.service) {
+            fallback.guard().announce(&guarded(fact), now);
+        }
+    }
+
+    pub(super) fn apply_ejection(
+        &mut self,
+        service: &ServiceName,
+        upstream: &UpstreamName,
+        until: Option<Moment>,
+        now: Moment,
+    ) {
+        let Some(fallback) = self.fallbacks.get_mut(service) else { return };
+        match until {
+            Some(until) => {
+                if !fallback.guard().eject(upstream, until, now) {
+                    info!(service:%, upstream:%, reason = "floor"; "ejection not applied");
+                }
+            }
+            None => fallback.guard().restore(upstream),
+        }
+    }
+
+    pub(super) fn settle_fallback(&mut self, settle: &SlotSettle) {
+        if let Some(fallback) = self.fallbacks.get_mut(&settle.service) {
+            fallback.settle(settle);
+        }
+    }
+
+    pub(super) fn tick_fallbacks(&mut self, now: Moment) {
+        self.fallbacks.values_mut().for_each(|fallback| fallback.tick(now));
+    }
+}
--- a/crates/fleet/src/handle.rs
+++ b/crates/fleet/src/handle.rs
@@ -3,52 +3,58 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    driver::{DriverEvent, FleetError, SharedState, spawn},
+    driver::{
+        FleetError, ReplicaPart, SharedState,
+        inbox::{DriverEvent, DriverInbox},
+        spawn,
+    },
+    entry::EntrySlots,
+    replicas::ReplicaCalls,
     settings::FleetSettings,
-    wire::{AskFault, FleetPeerClient},
+    wire::FleetPeerClient,
 };
 use arc_swap::ArcSwap;
-use control::handle::ControlHandle;
+use control::handle::group_of;
 use model::{
     announcement::UpstreamAnnouncement,
-    call::{CallRefusal, RefusalReason},
+    call::CallRefusal,
     config::FleetConfig,
-    ledger::{ClaimAnswer, KeyClaim, KeyClose},
+    ledger::{CallKey, ClaimAnswer, KeyClaim, KeyClose},
     names::MemberName,
     numbers::{ConfigNumber, GroupNumber},
-    patch::{ConfigPatch, PatchId, PatchRecord, PatchResult},
-    ports::{
-        AnnouncementPort, ControlFault, LedgerFault, LedgerPort, OperatorPort, ReplicaChange,
-        SlotPort,
-    },
-    report::{CapacityRow, MemberRow, PlacerRow, StatusReport, UpstreamRow},
+    ports::{AnnouncementPort, LedgerFault, LedgerPort, SlotPort},
     slot::{SlotAsk, SlotGrant, SlotSettle},
 };
-use tarpc::{client::RpcError, context::Context};
 use tokio::sync::watch;
 
-/// How long a control operation may take in all.
-const CONTROL_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// A running node of the fleet.
+/// A running node of the fleet. It ends with its last handle, or when it is killed.
 #[derive(Clone)]
 pub struct FleetNode {
-    member: MemberName,
-    shared: SharedState,
+    pub(crate) shared: SharedState,
+    pub(crate) inbox: DriverInbox,
+    pub(crate) replicas: ReplicaCalls,
+    slots: EntrySlots,
 }
 
 impl FleetNode {
-    /// Starts a node. `control` holds the replicas of this VM, if it has any.
+    /// Starts a node. `replicas` holds the replicas of this VM, if it has any.
     ///
     /// # Errors
     ///
     /// Fails when the fleet's port cannot be bound or the control thread cannot be started.
     pub fn spawn(
         settings: FleetSettings,
-        control: Option<ControlHandle>,
+        replicas: Option<ReplicaPart>,
     ) -> Result<Self, FleetError> {
-        let member = settings.member.clone();
-        Ok(Self { member, shared: spawn(settings, control)? })
+        let (shared, inbox) = spawn(settings, replicas)?;
+        let slots = EntrySlots::new(shared.clone(), inbox.downgrade());
+        let replicas = ReplicaCalls::new(shared.clone());
+        Ok(Self { shared, inbox, replicas, slots })
+    }
+
+    /// Returns the name of this node's VM.
+    pub fn member(&self) -> &MemberName {
+        &self.shared.member
     }
 
     /// Returns the address on which the fleet reaches this node.
@@ -61,7 +67,7 @@
         self.shared.config.clone()
     }
 
-    /// Watches the number in force.
+    /// Watches the number in force, from when it is known to be no old one.
     pub fn watch_number(&self) -> watch::Receiver<ConfigNumber> {
         self.shared.changed.clone()
     }
@@ -73,236 +79,66 @@
 
     /// Begins the planned stop of this VM: hands over its duties.
     pub fn begin_drain(&self) {
-        self.shared.inbox.send(DriverEvent::Drain);
+        self.inbox.send(DriverEvent::Drain);
     }
 
-    async fn replica_addresses(&self) -> Vec<SocketAddr> {
-        let query = |driver: &mut crate::driver::FleetDriver| {
-            let now = driver.now();
-            let living = driver.members.living(now).map(|(record, _)| record);
-            living.filter(|record| record.replica).map(|record| record.address).collect()
-        };
-        self.shared.inbox.query(query).await
+    /// Ends the node at once and without a word, as a crash of its VM would: the control thread, the
+    /// listener and each connection. For tests of failures.
+    pub fn kill(&self) {
+        self.shared.stop.cancel();
     }
 
-    /// Asks the replicas one after the other until one answers.
-    async fn on_replica<T, F>(
-        &self,
-        span: Duration,
-        call: impl Fn(FleetPeerClient, Context) -> F,
-    ) -> Option<T>
-    where
-        F: Future<Output = Result<Result<T, ControlFault>, RpcError>>,
-    {
-        for address in self.replica_addresses().await {
-            if let Ok(Ok(answer)) = self.shared.links.call(address, span, &call).await {
-                return Some(answer);
-            }
-        }
-        None
+    /// Returns how many ends of grants have not been taken by their placers yet.
+    pub fn ends_waiting(&self) -> usize {
+        self.slots.ends_waiting()
+    }
+
+    /// Returns how many grants this node's entry holds.
+    pub fn grants_held(&self) -> usize {
+        self.shared.book().len()
+    }
+
+    fn ledger_group(&self, key: CallKey) -> GroupNumber {
+        group_of(key, self.shared.config.load().settings().ledger_groups)
     }
 }
 
 impl SlotPort for FleetNode {
     async fn ask(&self, ask: SlotAsk) -> Result<SlotGrant, CallRefusal> {
-        let refused = CallRefusal::passing(RefusalReason::NoUpstream, 1_000);
-        let view = self.shared.view.load_full();
-        let placer = view.placer_of(&ask.service, 0).ok_or(refused)?;
-        let answer = if placer.member == self.member {
-            self.shared.inbox.ask(self.member.clone(), ask).await
-        } else {
-            let left = Duration::from_millis(u64::from(ask.within_ms));
-            let entry = self.member.clone();
-            let call = |client: FleetPeerClient, context| async move {
-                client.ask(context, entry, ask).await
-            };
-            self.shared.links.call(placer.address, left, call).await.map_err(|_| refused)?
-        };
-        answer.map_err(|fault| match fault {
-            AskFault::Refused { refusal } => refusal,
-            AskFault::NotPlacer => refused,
-        })
+        self.slots.ask(ask).await
     }
 
-    fn begin(&self, _: &SlotGrant) -> bool {
-        true
+    fn begin(&self, grant: &SlotGrant) -> bool {
+        self.slots.begin(grant)
     }
 
     fn settle(&self, settle: SlotSettle) {
-        if settle.id.granter == self.member {
-            return self.shared.inbox.send(DriverEvent::Settle(settle));
-        }
-        let view = self.shared.view.load_full();
-        let granter = view.candidates.iter().find(|one| one.member == settle.id.granter);
-        let Some(address) = granter.map(|one| one.address) else { return };
-        let links = self.shared.links.clone();
-        tokio::spawn(async move {
-            let call = |client: FleetPeerClient, context| async move {
-                client.settle(context, vec![settle]).await
-            };
-            let _ = links.call(address, CONTROL_TIMEOUT, call).await;
-        });
+        self.slots.settle(settle);
     }
 }
 
 impl LedgerPort for FleetNode {
     async fn claim(&self, claim: KeyClaim) -> Result<ClaimAnswer, LedgerFault> {
-        let left = Duration::from_millis(u64::from(claim.within_ms));
+        let group = self.ledger_group(claim.key);
+        let span = Duration::from_millis(u64::from(claim.within_ms));
+        let until = std::time::Instant::now() + span;
         let call = |client: FleetPeerClient, context| {
-            let claim = claim.clone();
-            async move { client.claim(context, claim).await }
+            let left = until.saturating_duration_since(std::time::Instant::now());
+            let within_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+            let claim = KeyClaim { within_ms, ..claim.clone() };
+            async move { client.claim(context, group, claim).await }
         };
-        let group = GroupNumber::FIRST_LEDGER;
-        self.on_replica(left, call).await.ok_or(LedgerFault::NoMajority { group })
+        let answer = self.replicas.on_leader(group, span, call).await;
+        answer.map_err(|_| LedgerFault::NoMajority { group })
     }
 
     async fn close(&self, close: KeyClose) -> Result<(), LedgerFault> {
-        let call = |client: FleetPeerClient, context| {
-            let close = close.clone();
-            async move { client.close(context, close).await }
-        };
-        let group = GroupNumber::FIRST_LEDGER;
-        self.on_replica(CONTROL_TIMEOUT, call).await.ok_or(LedgerFault::NoMajority { group })
+        self.replicas.close(self.ledger_group(close.key), close).await
     }
 }
 
 impl AnnouncementPort for FleetNode {
     fn announce(&self, announcement: UpstreamAnnouncement) {
-        self.shared.inbox.send(DriverEvent::Announce(announcement));
-    }
-}
-
-impl OperatorPort for FleetNode {
-    async fn submit(&self, patch: ConfigPatch) -> Result<PatchResult, ControlFault> {
-        let call = |client: FleetPeerClient, context| {
-            let patch = patch.clone();
-            async move { client.submit(context, patch).await }
-        };
-        let group = GroupNumber::CONFIG;
-        self.on_replica(CONTROL_TIMEOUT, call).await.ok_or(ControlFault::Unavailable { group })
-    }
-
-    fn config(&self) -> Arc<FleetConfig> {
-        self.shared.config.load_full()
-    }
-
-    async fn config_after(&self, number: ConfigNumber) -> Arc<FleetConfig> {
-        let mut changed = self.shared.changed.clone();
-        // The sender lives as long as the control thread.
-        let _ = changed.wait_for(|&present| present > number).await;
-        self.config()
-    }
-
-    async fn history(
-        &self,
-        after: ConfigNumber,
-        limit: u32,
-    ) -> Result<Vec<PatchRecord>, ControlFault> {
-        let call = |client: FleetPeerClient, context| async move {
-            client.history(context, after, limit).await
-        };
-        let group = GroupNumber::CONFIG;
-        self.on_replica(CONTROL_TIMEOUT, call).await.ok_or(ControlFault::Unavailable { group })
-    }
-
-    async fn patch(&self, id: PatchId) -> Result<Option<PatchResult>, ControlFault> {
-        let call =
-            |client: FleetPeerClient, context| async move { client.patch(context, id).await };
-        let group = GroupNumber::CONFIG;
-        self.on_replica(CONTROL_TIMEOUT, call).await.ok_or(ControlFault::Unavailable { group })
-    }
-
-    async fn status(&self) -> StatusReport {
-        let config = self.config();
-        let rows = self.members().await;
-        let lags = |row: &&MemberRow| row.in_force < config.number();
-        let lagging: Vec<_> =
-            rows.iter().filter(lags).map(|row| (row.member.clone(), row.in_force)).collect();
-        StatusReport {
-            accepted: config.number(),
-            digest: config.digest(),
-            confirmed: false,
-            in_force: u32::try_from(rows.len() - lagging.len()).unwrap_or(u32::MAX),
-            members: u32::try_from(rows.len()).unwrap_or(u32::MAX),
-            lagging,
-            groups: Vec::new(),
-        }
-    }
-
-    async fn upstreams(&self) -> Vec<UpstreamRow> {
-        let query = |driver: &mut crate::driver::FleetDriver| {
-            let now = driver.now();
-            let rows = driver.directory.list(now).map(|(announcement, left)| UpstreamRow {
-                service: announcement.service.clone(),
-                upstream: announcement.upstream.clone(),
-                address: announcement.address,
-                domain: announcement.domain.clone(),
-                state: announcement.state,
-                health: None,
-                slots: announcement.slots,
-                busy: 0,
-                incarnation: announcement.incarnation,
-                lease_left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-                ejected_left_ms: 0,
-            });
-            rows.collect()
-        };
-        self.shared.inbox.query(query).await
-    }
-
-    async fn placers(&self) -> Vec<PlacerRow> {
-        let query = |driver: &mut crate::driver::FleetDriver| {
-            driver.placers.values().map(|placer| placer.row()).collect()
-        };
-        self.shared.inbox.query(query).await
-    }
-
-    async fn members(&self) -> Vec<MemberRow> {
-        let query = |driver: &mut crate::driver::FleetDriver| {
-            let now = driver.now();
-            let rows = driver.members.all(now).map(|(record, silence)| MemberRow {
-                member: record.member.clone(),
-                domain: record.domain.clone(),
-                address: record.address,
-                incarnation: record.incarnation,
-                reachable: silence < crate::membership::SILENCE_LIMIT,
-                heard_ms: u64::try_from(silence.as_millis()).unwrap_or(u64::MAX),
-                in_force: record.in_force,
-                stopping: record.stopping,
-                replica: record.replica,
-            });
-            rows.collect()
-        };
-        self.shared.inbox.query(query).await
-    }
-
-    async fn capacity(&self) -> Vec<CapacityRow> {
-        let query = |driver: &mut crate::driver::FleetDriver| {
-            driver.placers.values().map(|placer| placer.capacity()).collect()
-        };
-        self.shared.inbox.query(query).await
-    }
-
-    async fn drain(&self, member: MemberName) -> Result<(), ControlFault> {
-        let rows = self.members().await;
-        let unknown = || ControlFault::Refused { reason: format!("there is no VM {member}") };
-        let row = rows.iter().find(|row| row.member == member).ok_or_else(unknown)?;
-        let unreachable =
-            || ControlFault::Refused { reason: format!("VM {member} was not reached") };
-        let call = |client: FleetPeerClient, context| async move { client.drain(context).await };
-        let called = self.shared.links.call(row.address, CONTROL_TIMEOUT, call).await;
-        called.map_err(|_| unreachable())
-    }
-
-    async fn change_replicas(
-        &self,
-        group: GroupNumber,
-        _: ReplicaChange,
-    ) -> Result<(), ControlFault> {
-        Err(ControlFault::Unavailable { group })
-    }
-
-    async fn snapshot(&self, group: GroupNumber) -> Result<u64, ControlFault> {
-        Err(ControlFault::Unavailable { group })
+        self.inbox.send(DriverEvent::Announce(announcement));
     }
 }
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -181,6 +181,11 @@
         self.health().closed(address);
     }
 
+    /// Runs a task beside the connections. It ends with them.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.runtime.spawn(task);
+    }
+
     /// Looks connections over until the runtime ends.
     pub(crate) async fn tend(self) {
         let mut review = interval(REVIEW_PERIOD);
--- /dev/null
+++ b/crates/fleet/tests/nodes.rs
@@ -0,0 +1,238 @@
+//! Several nodes in one process on loopback: the rules meet the sockets.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use fleet::handle::FleetNode;
+use googletest::prelude::*;
+use model::{
+    announcement::UpstreamState,
+    call::{CallRefusal, OutcomeClass, RefusalReason},
+    config::ServiceRule,
+    numbers::ConfigNumber,
+    patch::ConfigChange,
+    ports::{AnnouncementPort, OperatorPort, SlotPort},
+    secret::SharedSecret,
+};
+use support::{Nodes, announcement, ask, service, settings, settle, until, upstream};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+async fn state_at(node: &FleetNode) -> Option<UpstreamState> {
+    let rows = node.upstreams().await;
+    rows.iter().find(|row| row.upstream == upstream("cluebook-0")).map(|row| row.state)
+}
+
+async fn serve_one_upstream(nodes: &Nodes) {
+    nodes.configure().await;
+    nodes.nodes[0].announce(announcement("cluebook-0", UpstreamState::Serving, 1));
+    for node in &nodes.nodes {
+        until("the upstream is known", || async { state_at(node).await.is_some() }).await;
+    }
+}
+
+async fn busy(node: &FleetNode) -> u32 {
+    node.placers().await.iter().map(|row| row.busy).sum()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stranger_changes_nothing() {
+    // A process without the secret sends bytes to the fleet's port, and another starts as a node
+    // with a secret of its own. The first is closed on; the second is never a member.
+    let nodes = Nodes::spawn(2).await;
+    let mut stream = TcpStream::connect(nodes.nodes[0].address()).await.expect("it listens");
+    stream.write_all(&[0, 8, 1, 2, 3, 4, 5, 6, 7, 8]).await.expect("open");
+    let mut rest = Vec::new();
+    let closed = tokio::time::timeout(Duration::from_secs(10), stream.read_to_end(&mut rest)).await;
+    expect_that!(closed.is_ok(), eq(true));
+    let mut other = settings("stranger", vec![nodes.nodes[0].address()]);
+    other.secret = SharedSecret::from_bytes(b"some other secret of others").expect("long enough");
+    let stranger = FleetNode::spawn(other, None).expect("a free port");
+    let port = stranger.address();
+    until("the stranger has tried", || async {
+        TcpStream::connect(port).await.is_ok() && stranger.members().await.len() == 1
+    })
+    .await;
+    expect_that!(nodes.nodes[0].members().await.len(), eq(2));
+    stranger.kill();
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_14_leaving_reaches_each_vm_without_the_control_vms() {
+    // The only control VM is gone. An upstream says that it leaves, to one VM. Within three seconds
+    // no VM may place on it.
+    let nodes = Nodes::spawn(5).await;
+    serve_one_upstream(&nodes).await;
+    nodes.nodes[0].kill();
+    let told = std::time::Instant::now();
+    nodes.nodes[4].announce(announcement("cluebook-0", UpstreamState::Leaving, 2));
+    for node in &nodes.nodes[1..] {
+        until("leaving is known", || async {
+            state_at(node).await == Some(UpstreamState::Leaving)
+        })
+        .await;
+    }
+    expect_that!(told.elapsed(), lt(Duration::from_secs(3)));
+    let refused = nodes.nodes[1].ask(ask(1, 300)).await;
+    expect_that!(refused.is_err(), eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_14_an_upstreams_own_answer_says_that_it_leaves() {
+    // The upstream's announcement is late. It refuses a call with "draining": that is word enough.
+    let nodes = Nodes::spawn(3).await;
+    serve_one_upstream(&nodes).await;
+    let granted = nodes.nodes[1].ask(ask(1, 5_000)).await.expect("there is room");
+    nodes.nodes[1].settle(settle(&granted, OutcomeClass::Draining));
+    for node in &nodes.nodes {
+        until("leaving is known", || async {
+            state_at(node).await == Some(UpstreamState::Leaving)
+        })
+        .await;
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_6_a_given_up_ask_leaves_no_slot_taken() {
+    // Callers hang up while their calls wait for a slot, or in the moment of the grant. After all
+    // have gone the upstream's slots are all free again.
+    let nodes = Nodes::spawn(3).await;
+    serve_one_upstream(&nodes).await;
+    let mut granted = Vec::new();
+    for call in 0..4 {
+        granted.push(nodes.nodes[1].ask(ask(call, 5_000)).await.expect("there is room"));
+    }
+    for call in 10..30 {
+        let given_up = nodes.nodes[2].ask(ask(call, 5_000));
+        expect_that!(
+            tokio::time::timeout(Duration::from_millis(5), given_up).await.is_err(),
+            eq(true)
+        );
+    }
+    for grant in &granted {
+        nodes.nodes[1].settle(settle(grant, OutcomeClass::Success));
+    }
+    until("all slots are free", || async { busy(&nodes.nodes[0]).await == 0 }).await;
+    until("all ends are taken", || async { nodes.nodes[2].ends_waiting() == 0 }).await;
+    expect_that!(nodes.nodes[2].grants_held(), eq(0));
+    let queued: u32 = nodes.nodes[0].placers().await.iter().map(|row| row.queued).sum();
+    expect_that!(queued, eq(0));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_24_a_placer_that_stops_as_planned_cuts_no_call() {
+    // Calls come all the time. The placer's VM stops as planned: each ask is granted all the same,
+    // by the next placer, which counts what was granted before.
+    let nodes = Nodes::spawn(4).await;
+    serve_one_upstream(&nodes).await;
+    let placer = nodes.placer().await;
+    let entry = nodes.nodes[(placer + 1) % 4].clone();
+    let held = entry.ask(ask(1, 5_000)).await.expect("there is room");
+    nodes.nodes[placer].begin_drain();
+    for call in 2..40 {
+        let granted = entry.ask(ask(call, 5_000)).await;
+        expect_that!(granted.as_ref().err(), none());
+        if let Ok(granted) = granted {
+            expect_that!(entry.begin(&granted), eq(true));
+            entry.settle(settle(&granted, OutcomeClass::Success));
+        }
+    }
+    until("another VM places", || async {
+        let rows = entry.placers().await;
+        rows.iter().any(|row| row.member != nodes.nodes[placer].member().clone())
+    })
+    .await;
+    until("the held grant is counted", || async { busy(&entry).await == 1 }).await;
+    entry.settle(settle(&held, OutcomeClass::Success));
+    until("it is free again", || async { busy(&entry).await == 0 }).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_placer_is_replaced_and_calls_go_on_meanwhile() {
+    // The placer's VM dies without a word. Until the others have noticed, entries place by their own
+    // share; then another VM has the duty.
+    let nodes = Nodes::spawn(4).await;
+    serve_one_upstream(&nodes).await;
+    let placer = nodes.placer().await;
+    nodes.nodes[placer].kill();
+    let entries = (0..4).filter(|&number| number != placer);
+    let mut served = 0;
+    for (call, number) in entries.clone().enumerate() {
+        let entry = &nodes.nodes[number];
+        if let Ok(granted) = entry.ask(ask(call as u64, 5_000)).await {
+            served += 1;
+            entry.settle(settle(&granted, OutcomeClass::Success));
+        }
+    }
+    expect_that!(served, ge(1));
+    let entry = &nodes.nodes[(placer + 1) % 4];
+    let lost = nodes.nodes[placer].member().clone();
+    until("another VM places", || async {
+        entry.placers().await.iter().any(|row| row.member != lost)
+    })
+    .await;
+    let granted = entry.ask(ask(100, 5_000)).await.expect("there is a placer");
+    expect_that!(granted.id.granter, not(eq(&lost)));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_ask_without_time_left_is_refused_at_once() {
+    let nodes = Nodes::spawn(2).await;
+    serve_one_upstream(&nodes).await;
+    let refused = nodes.nodes[1].ask(ask(1, 0)).await;
+    let reason = refused.err().map(|refusal: CallRefusal| refusal.reason);
+    expect_that!(reason, some(eq(RefusalReason::DeadlineTooShort)));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_node_is_gone_at_once_and_so_is_one_without_handles() {
+    let gone = |address: SocketAddr| async move { TcpStream::connect(address).await.is_err() };
+    let killed = FleetNode::spawn(settings("vm-0", Vec::new()), None).expect("a free port");
+    let address = killed.address();
+    killed.kill();
+    until("the port is closed", || gone(address)).await;
+    expect_that!(killed.members().await, is_empty());
+
+    let dropped = FleetNode::spawn(settings("vm-1", Vec::new()), None).expect("a free port");
+    let address = dropped.address();
+    drop(dropped);
+    until("the port is closed", || gone(address)).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_is_in_force_everywhere_and_a_restarted_entry_takes_it_from_peers() {
+    // Each VM takes a second change, then the only control VM is lost and an entry restarts with
+    // nothing: it starts with the latest number, which its peers hold.
+    let mut nodes = Nodes::spawn(4).await;
+    nodes.configure().await;
+    let rule = ServiceRule { floor_slots: 3, ..ServiceRule::default() };
+    let change = ConfigChange::PutService { name: service("cluebook"), rule };
+    nodes.submit(ConfigNumber(1), change).await;
+    until("all report it", || async { nodes.nodes[3].status().await.in_force == 4 }).await;
+    expect_that!(nodes.nodes[3].status().await.confirmed, eq(true));
+
+    nodes.nodes[0].kill();
+    nodes.nodes[3].kill();
+    let seeds = nodes.nodes[..3].iter().map(FleetNode::address).collect();
+    let mut again = settings("vm-3", seeds);
+    again.incarnation = again.incarnation.next();
+    let restarted = FleetNode::spawn(again, None).expect("a free port");
+    nodes.nodes.push(restarted.clone());
+    until("it has the latest", || async { *restarted.watch_number().borrow() == ConfigNumber(2) })
+        .await;
+    expect_that!(restarted.config().digest(), eq(nodes.nodes[1].config().digest()));
+    let report = restarted.status().await;
+    expect_that!(report.confirmed, eq(false));
+}
