--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -81,9 +81,14 @@
     },
 }
 
+/// How long handing over leadership may take in a planned stop. Without a hand-over the followers
+/// notice the silence and choose a leader themselves, which only takes longer.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
+
 /// A running daemon.
 pub struct DaemonNode {
     fleet: FleetNode,
+    control: Option<ControlHandle>,
     callers: CallerServer,
     announce: AnnounceServer,
     operators: OperatorServer,
@@ -101,7 +106,7 @@
         let started = SystemTime::now().duration_since(UNIX_EPOCH).context(ClockSnafu)?;
         let started_us = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
         let control = open_replicas(settings, started_us)?;
-        let fleet = FleetNode::spawn(fleet_settings(settings, started_us), control)?;
+        let fleet = FleetNode::spawn(fleet_settings(settings, started_us), control.clone())?;
         let port = Arc::new(fleet.clone());
         let metrics = FleetMetrics::open()?;
         let entry = Arc::new(CallEntry::new(EntryParts {
@@ -122,7 +127,7 @@
         let platform = PlatformServer::bind(settings.platform_listen, pages).await?;
         let callers = CallerServer::bind(settings.caller_listen, entry).await?;
         tokio::spawn(report_ready(fleet.clone(), ready.clone()));
-        Ok(Self { fleet, callers, announce, operators, platform, ready })
+        Ok(Self { fleet, control, callers, announce, operators, platform, ready })
     }
 
     /// Returns where callers are served.
@@ -156,30 +161,54 @@
         let _ = self.fleet.watch_drain().wait_for(|&asked| asked).await;
     }
 
+    /// Ends when the replicas of this VM had to end, and never without a data folder.
+    pub async fn control_failed(&self) -> Arc<ControlError> {
+        match &self.control {
+            Some(control) => control.failed().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Ends at once and without a word, as a crash would. For tests of failures.
     pub fn kill(self) {}
 
     /// Stops as planned: has the balancer send calls elsewhere, hands over duties, finishes what is
     /// in flight, ends.
+    ///
+    /// The order matters. The health page fails first and calls are taken for the whole lame-duck
+    /// time, because a balancer goes on sending until it has noticed. Duties go at once, so that
+    /// the fleet does not wait for them while this VM is still there to help.
     pub async fn stop(self) {
         info!("planned stop");
         self.ready.set(ReadyState::Stopping);
         self.callers.begin_closing();
         self.fleet.begin_drain();
         let lame_duck = self.fleet.config_in_force().load().settings().lame_duck_ms;
-        tokio::time::sleep(Duration::from_millis(u64::from(lame_duck))).await;
+        let lame_duck = tokio::time::sleep(Duration::from_millis(u64::from(lame_duck)));
+        tokio::join!(lame_duck, hand_over(self.control.as_ref()));
         self.callers.drain().await;
+        self.operators.drain().await;
         info!("stopped");
     }
 }
 
-/// Opens the replicas of a VM with a data folder, as the only founder.
+async fn hand_over(control: Option<&ControlHandle>) {
+    let Some(control) = control else { return };
+    if let Err(error) = control.hand_over(HAND_OVER_LIMIT).await {
+        log::warn!(error:%; "leadership not handed over; the others will choose a leader");
+    }
+}
+
+/// Opens the replicas of a VM with a data folder.
 fn open_replicas(
     settings: &DaemonSettings,
     seed: u64,
 ) -> Result<Option<ControlHandle>, ControlError> {
     let Some(folder) = settings.data.clone() else { return Ok(None) };
-    let (member, founders) = (settings.member.clone(), vec![settings.member.clone()]);
+    let (member, mut founders) = (settings.member.clone(), settings.founders.clone());
+    if founders.is_empty() {
+        founders.push(member.clone());
+    }
     let (handle, _packets) =
         ControlHandle::open(ReplicaSettings { member, folder, founders, seed })?;
     Ok(Some(handle))
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -10,7 +10,7 @@
     listener::{Acceptor, Listener, TcpListener},
 };
 use snafu::{OptionExt, ResultExt, Snafu};
-use tokio::task::JoinHandle;
+use tokio::{sync::oneshot, task::JoinHandle};
 
 /// How many connections are held at a time. Operators are a few people and their scripts.
 pub const CONNECTIONS_LIMIT: usize = 256;
@@ -19,6 +19,10 @@
 /// the longest wait of a watch.
 pub const IDLE_LIMIT: Duration = Duration::from_secs(60);
 
+/// How long requests in flight may take in a planned stop. A watch that lasts longer is cut: it is
+/// a read, and the command line asks the next VM.
+const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+
 /// Why the interface could not be opened.
 #[derive(Debug, Snafu)]
 pub enum OperatorError {
@@ -39,6 +43,7 @@
 #[derive(Debug)]
 pub struct OperatorServer {
     address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
     task: JoinHandle<io::Result<()>>,
 }
 
@@ -61,14 +66,30 @@
         let endpoint = guarded(pages(&port), secret);
         let acceptor = BoundedAcceptor::new(acceptor, CONNECTIONS_LIMIT);
         let server = Server::new_with_acceptor(acceptor).idle_timeout(IDLE_LIMIT);
-        let task = tokio::spawn(server.run(endpoint));
-        Ok(Self { address, task })
+        let (stop, stopped) = oneshot::channel::<()>();
+        let task = tokio::spawn(async move {
+            // A sender that is gone without a word means that the task is about to be aborted.
+            let stopped = async { drop(stopped.await) };
+            server.run_with_graceful_shutdown(endpoint, stopped, Some(DRAIN_LIMIT)).await
+        });
+        Ok(Self { address, stop: Some(stop), task })
     }
 
     /// Returns the address that was bound.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Takes no new connection, finishes requests in flight within a short limit and ends.
+    pub async fn drain(mut self) {
+        if let Some(stop) = self.stop.take() {
+            // The receiver is gone only when the task has ended already.
+            let _ = stop.send(());
+        }
+        if let Ok(Err(error)) = (&mut self.task).await {
+            log::warn!(error:%; "the operators' interface did not end well");
+        }
+    }
 }
 
 impl Drop for OperatorServer {
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -200,6 +200,7 @@
             fleet_listen: any,
             seeds: Vec::new(),
             data: folder.as_ref().map(|folder| folder.path().to_owned()),
+            founders: Vec::new(),
             fleet_secret: secret.clone(),
             operator_secret: secret.clone(),
             announce_secret: secret,
