caller: a stop cuts no call that was not read yet

Cause: the HTTP library's detection of the version gives a connection up when it is asked to shut down before its first bytes were read. Found by row_24_a_call_that_is_not_read_yet_is_not_cut: connections with a request waiting in the system's buffers were closed unanswered. Change: connection module tells the version from the waiting bytes (peek) and hands the connection to the HTTP/1.1 or HTTP/2 server itself; the port goes on accepting for 20 ms after the last one; a connection without bytes has 100 ms.

--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,6 +1,7 @@
 //! The HTTP side towards callers.
 //!
 //! - [`server`]: takes connections within limits, and ends them without cutting a call;
+//! - `connection`: serves one connection;
 //! - [`limits`]: what one VM takes from its callers;
 //! - [`entry`]: the path of one call, from its route to its outcome;
 //! - `request`: reads a request's head and body;
@@ -12,11 +13,12 @@
 //! - `headers`: what a proxy changes on the way;
 //! - [`answer`]: what the fleet itself answers;
 //! - [`digest`]: what makes a request the same request;
-//! - `stall`: ends connections on which nothing moves.
+//! - `stall`: ends connections whose caller takes nothing.
 
 pub mod answer;
 pub mod body;
 mod budget;
+mod connection;
 pub mod digest;
 pub mod entry;
 mod headers;
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -1,49 +1,16 @@
 //! Takes callers' connections and requests.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use futures::FutureExt;
-use http::{HeaderValue, Request, header};
-use hyper::{body::Incoming, service::service_fn};
-use hyper_util::{
-    rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::{conn::auto, graceful::GracefulShutdown},
-};
 use log::warn;
-use model::{
-    call::{CallRefusal, RefusalReason},
-    ports::{LedgerPort, SlotPort},
-};
+use model::ports::{LedgerPort, SlotPort};
 use snafu::{ResultExt, Snafu};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{OwnedSemaphorePermit, Semaphore, watch},
-    task::JoinHandle,
-    time::timeout,
-};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::timeout};
 
-use crate::{answer::refused, entry::CallEntry, limits::CallLimits, stall::StallGuard};
+use crate::{connection::ConnectionServer, entry::CallEntry};
 
-/// How many connections beyond the limit are served at once with a refusal; more are closed.
-const SPARE_CONNECTIONS: usize = 64;
-
-/// How long a connection beyond the limit may take for its request and its refusal.
-const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// The least buffer that the HTTP library works with, in bytes.
-const SMALLEST_BUFFER: usize = 8_192;
-
-/// How many HTTP/2 streams that were reset may wait to be cleaned up before the connection is ended.
-const RESETS_LIMIT: usize = 32;
-
-/// What is buffered for sending on one HTTP/2 stream, in bytes.
-const SEND_BUFFER: usize = 64 * 1_024;
-
-/// What a caller may send on one HTTP/2 stream ahead of its being read, in bytes.
-const STREAM_WINDOW: u32 = 64 * 1_024;
-
-/// The same for all streams of a connection together.
-const CONNECTION_WINDOW: u32 = 1_024 * 1_024;
+/// How long the port goes on accepting after a stop was asked for and nobody connects any more.
+const BACKLOG_TIME: Duration = Duration::from_millis(20);
 
 /// Why the callers' port could not be opened.
 #[derive(Debug, Snafu)]
@@ -131,11 +98,11 @@
         }
     }
     // What the system has accepted already would be reset by closing the port.
-    while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
+    while let Ok(Ok((stream, peer))) = timeout(BACKLOG_TIME, listener.accept()).await {
         server.serve(stream, peer);
     }
     drop(listener);
-    server.graceful.shutdown().await;
+    server.shutdown().await;
     entry.settle_tasks().await;
 }
 
@@ -151,101 +118,3 @@
     reached(watched, ServePhase::Closing).await;
     entry.begin_closing();
 }
-
-/// Serves each connection in a task of its own.
-struct ConnectionServer<S, L> {
-    entry: Arc<CallEntry<S, L>>,
-    builder: auto::Builder<TokioExecutor>,
-    graceful: GracefulShutdown,
-    places: Arc<Semaphore>,
-    spare_places: Arc<Semaphore>,
-}
-
-impl<S: SlotPort, L: LedgerPort> ConnectionServer<S, L> {
-    fn new(entry: Arc<CallEntry<S, L>>) -> Self {
-        let places = Arc::new(Semaphore::new(entry.limits().connections));
-        let builder = builder(entry.limits());
-        let spare_places = Arc::new(Semaphore::new(SPARE_CONNECTIONS));
-        Self { entry, builder, graceful: GracefulShutdown::new(), places, spare_places }
-    }
-
-    fn serve(&self, stream: TcpStream, peer: SocketAddr) {
-        // Without it a small answer can wait 40 ms for the acknowledgement of the one before.
-        let _ = stream.set_nodelay(true);
-        if let Ok(place) = self.places.clone().try_acquire_owned() {
-            return self.serve_calls(stream, peer, place);
-        }
-        warn!(peer:% = peer, reason = "too many connections"; "rejected");
-        if let Ok(place) = self.spare_places.clone().try_acquire_owned() {
-            self.serve_refusal(stream, place);
-        }
-    }
-
-    fn serve_calls(&self, stream: TcpStream, peer: SocketAddr, place: OwnedSemaphorePermit) {
-        let entry = self.entry.clone();
-        let service = service_fn(move |request| {
-            let entry = entry.clone();
-            // Boxed, since the HTTP library keeps room for the future on each idle connection.
-            async move { Ok::<_, Infallible>(entry.answer(request, peer.ip()).await) }.boxed()
-        });
-        let limits = self.entry.limits();
-        let guarded = StallGuard::new(stream, limits.head_timeout, limits.write_idle);
-        let connection = self.builder.serve_connection(TokioIo::new(guarded), service);
-        let connection = self.graceful.watch(connection.into_owned());
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(peer:% = peer, error:% = error; "a caller's connection ended");
-            }
-            drop(place);
-        });
-    }
-
-    /// Answers the first request of a connection that is one too many: its caller learns that
-    /// nothing was run, where a closed connection would leave it in doubt.
-    fn serve_refusal(&self, stream: TcpStream, place: OwnedSemaphorePermit) {
-        let service = service_fn(|_: Request<Incoming>| async {
-            let refusal = CallRefusal::passing(RefusalReason::Saturated, 1_000);
-            let mut response = refused(refusal);
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(header::CONNECTION, close);
-            Ok::<_, Infallible>(response)
-        });
-        let guarded = StallGuard::new(stream, REFUSAL_TIMEOUT, REFUSAL_TIMEOUT);
-        let mut builder = self.builder.clone();
-        builder.http1().header_read_timeout(REFUSAL_TIMEOUT);
-        let connection = builder.serve_connection(TokioIo::new(guarded), service).into_owned();
-        tokio::spawn(async move {
-            // The connection is closed in any case.
-            let _ = timeout(REFUSAL_TIMEOUT, connection).await;
-            drop(place);
-        });
-    }
-}
-
-/// Makes the HTTP library hold the limits.
-///
-/// HTTP/2 has ways to make a server work for nothing: streams opened and reset at once, heads
-/// continued without end, windows never opened. The bounds on streams, on resets that wait, on the
-/// size of a head and on what is buffered for sending hold each of them.
-fn builder(limits: &CallLimits) -> auto::Builder<TokioExecutor> {
-    let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_timeout)
-        .max_buf_size(limits.header_bytes.max(SMALLEST_BUFFER))
-        .max_headers(limits.headers);
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_concurrent_streams(limits.streams)
-        .max_header_list_size(u32::try_from(limits.header_bytes).unwrap_or(u32::MAX))
-        .max_pending_accept_reset_streams(RESETS_LIMIT)
-        .max_local_error_reset_streams(RESETS_LIMIT)
-        .max_send_buf_size(SEND_BUFFER)
-        .initial_stream_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW)
-        .keep_alive_interval(limits.head_timeout)
-        .keep_alive_timeout(limits.head_timeout);
-    builder
-}
--- a/crates/caller/src/stall.rs
+++ b/crates/caller/src/stall.rs
@@ -1,9 +1,9 @@
-//! Ends connections on which nothing moves.
+//! Ends connections whose caller takes nothing.
 //!
-//! The HTTP library bounds the time in which a head is read, once it knows the version spoken. It
-//! does not bound the time until then, nor the time for which a caller takes nothing of an answer.
-//! Symptom of either: a caller that opens thousands of connections and falls silent holds all of the
-//! VM's. [`StallGuard`] bounds both, below the library, so it holds for HTTP/1.1 and HTTP/2 alike.
+//! The HTTP library bounds the time in which a head is read. It does not bound the time for which a
+//! caller takes nothing of an answer. Symptom: a caller that asks for large answers on thousands of
+//! connections and reads none of them holds all of the VM's. [`StallGuard`] bounds that below the
+//! library, so it holds for HTTP/1.1 and HTTP/2 alike.
 
 use std::{
     io,
@@ -18,30 +18,17 @@
     time::{Instant, Sleep, sleep},
 };
 
-/// How many bytes tell the version spoken: the preface of HTTP/2.
-const PREFACE_LENGTH: usize = 24;
-
-/// A caller's connection that fails when nothing moves.
+/// A caller's connection that fails when its caller takes nothing.
 pub(crate) struct StallGuard {
     stream: TcpStream,
-    /// Bytes read, as long as the version is not known.
-    read: usize,
-    first_bytes: Pin<Box<Sleep>>,
     write_idle: Duration,
     write_timer: Pin<Box<Sleep>>,
     stalled: bool,
 }
 
 impl StallGuard {
-    pub(crate) fn new(stream: TcpStream, first_bytes: Duration, write_idle: Duration) -> Self {
-        Self {
-            stream,
-            read: 0,
-            first_bytes: Box::pin(sleep(first_bytes)),
-            write_idle,
-            write_timer: Box::pin(sleep(write_idle)),
-            stalled: false,
-        }
+    pub(crate) fn new(stream: TcpStream, write_idle: Duration) -> Self {
+        Self { stream, write_idle, write_timer: Box::pin(sleep(write_idle)), stalled: false }
     }
 
     /// Watches the outcome of a write.
@@ -50,8 +37,6 @@
         context: &mut Context<'_>,
         written: Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
-        // Whoever is being answered has sent a request.
-        self.read = PREFACE_LENGTH;
         if written.is_ready() {
             self.stalled = false;
             return written;
@@ -71,16 +56,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if self.read >= PREFACE_LENGTH {
-            return polled;
-        }
-        self.read += buffer.filled().len() - before;
-        if polled.is_ready() {
-            return polled;
-        }
-        self.first_bytes.as_mut().poll(context).map(|()| Err(io::ErrorKind::TimedOut.into()))
+        Pin::new(&mut self.stream).poll_read(context, buffer)
     }
 }
 
