trial: the first VMs of a deployment found the control groups together

Cause: the daemon takes the founders' names now; a deployment passed none.

Change: the VMs with a disk are the founders.

--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -188,6 +188,7 @@
     fn new_vm(&self, number: usize) -> Result<DeployedVm, DeploymentError> {
         let folder = (number < self.replicas).then(TempFolder::open).transpose();
         let folder = folder.context(SystemSnafu)?;
+        let founders = (0..self.replicas).map(|number| self.member(number)).collect();
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let secret = SharedSecret::from_bytes(SECRET.as_bytes()).expect("it is long enough");
         let settings = DaemonSettings {
@@ -200,7 +201,7 @@
             fleet_listen: any,
             seeds: Vec::new(),
             data: folder.as_ref().map(|folder| folder.path().to_owned()),
-            founders: Vec::new(),
+            founders,
             fleet_secret: secret.clone(),
             operator_secret: secret.clone(),
             announce_secret: secret,
