--- a/crates/decide/src/placer.rs
+++ b/crates/decide/src/placer.rs
@@ -226,6 +226,8 @@
                 }
             }
         }
+        // An upstream may come back ejected, or with fewer slots.
+        self.keep_floor(now, actions);
         self.place(now, actions);
     }
 
--- a/crates/decide/src/placer/evidence.rs
+++ b/crates/decide/src/placer/evidence.rs
@@ -48,6 +48,10 @@
             return;
         }
         self.follow_limit(grant, settle, now);
+        if !self.targets.get(grant.target).serves() {
+            // It leaves or is lost: there is nothing left to eject or to return.
+            return self.forget_trial(grant, now);
+        }
         if grant.trial {
             return self.judge_trial(grant, settle, now, actions);
         }
--- a/crates/decide/src/placer/target.rs
+++ b/crates/decide/src/placer/target.rs
@@ -80,6 +80,7 @@
     pub(super) last_crash: Option<Moment>,
     /// What is counted into the table's sums.
     room: u32,
+    healthy: u32,
     free_key: Option<FreeKey>,
     last_used: u64,
 }
@@ -167,6 +168,7 @@
     ramping: BTreeSet<u32>,
     ramp: Duration,
     room: u32,
+    healthy: u32,
     busy: u32,
     uses: u64,
     /// Ejected targets that a call may be tried on.
@@ -238,8 +240,7 @@
 
     /// Returns the announced slots of targets that are neither lost, leaving nor ejected.
     pub(super) fn healthy_slots(&self) -> u32 {
-        let members = self.iter().filter(|(_, target)| target.is_member());
-        members.map(|(_, target)| target.announcement.slots).sum()
+        self.healthy
     }
 
     /// Returns the same with cold targets counted only as far as they have warmed up.
@@ -336,6 +337,7 @@
             doubted_by: None,
             last_crash: None,
             room: 0,
+            healthy: 0,
             free_key: None,
             last_used: 0,
         };
@@ -358,6 +360,9 @@
         let allowed = if sure { target.allowed(ramp, now) } else { 0 };
         self.room = self.room - target.room + allowed;
         target.room = allowed;
+        let healthy = if target.is_member() { target.announcement.slots } else { 0 };
+        self.healthy = self.healthy - target.healthy + healthy;
+        target.healthy = healthy;
         if target.is_member() && target.ramp_from.passed(now) < ramp {
             self.ramping.insert(index);
         } else {
@@ -478,6 +483,7 @@
             self.trials.remove(&index);
             self.doubted.remove(&index);
             self.room -= target.room;
+            self.healthy -= target.healthy;
             self.by_name.remove(&target.announcement.upstream);
             self.vacant.push(index);
         }
