--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -170,6 +170,10 @@
             written_commit: memory.commit,
         };
         core.draw_election(now);
+        if core.seats().quorum() == 1 && core.votes_itself() {
+            // Nobody else can lead, so there is nobody to wait for.
+            core.election_at = now;
+        }
         core
     }
 
