--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -195,7 +195,7 @@
 async fn hand_over(control: Option<&ControlHandle>) {
     let Some(control) = control else { return };
     if let Err(error) = control.hand_over(HAND_OVER_LIMIT).await {
-        log::warn!(error:%; "leadership not handed over; the others will choose a leader");
+        log::warn!(error:%; "leadership not handed over");
     }
 }
 
