--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,7 +12,11 @@
     server::{CallerError, CallerServer},
 };
 use control::{fault::ControlError, handle::ControlHandle, settings::ReplicaSettings};
-use fleet::{driver::FleetError, handle::FleetNode, settings::FleetSettings};
+use fleet::{
+    driver::{FleetError, ReplicaPart},
+    handle::FleetNode,
+    settings::FleetSettings,
+};
 use log::info;
 use model::numbers::{ConfigNumber, IncarnationNumber};
 use operator::server::{OperatorError, OperatorServer};
@@ -105,8 +109,9 @@
     pub async fn spawn(settings: &DaemonSettings) -> Result<Self, DaemonError> {
         let started = SystemTime::now().duration_since(UNIX_EPOCH).context(ClockSnafu)?;
         let started_us = u64::try_from(started.as_micros()).unwrap_or(u64::MAX);
-        let control = open_replicas(settings, started_us)?;
-        let fleet = FleetNode::spawn(fleet_settings(settings, started_us), control.clone())?;
+        let replicas = open_replicas(settings, started_us)?;
+        let control = replicas.as_ref().map(|(handle, _)| handle.clone());
+        let fleet = FleetNode::spawn(fleet_settings(settings, started_us), replicas)?;
         let port = Arc::new(fleet.clone());
         let metrics = FleetMetrics::open()?;
         let entry = Arc::new(CallEntry::new(EntryParts {
@@ -170,7 +175,9 @@
     }
 
     /// Ends at once and without a word, as a crash would. For tests of failures.
-    pub fn kill(self) {}
+    pub fn kill(self) {
+        self.fleet.kill();
+    }
 
     /// Stops as planned: has the balancer send calls elsewhere, hands over duties, finishes what is
     /// in flight, ends.
@@ -203,15 +210,14 @@
 fn open_replicas(
     settings: &DaemonSettings,
     seed: u64,
-) -> Result<Option<ControlHandle>, ControlError> {
+) -> Result<Option<ReplicaPart>, ControlError> {
     let Some(folder) = settings.data.clone() else { return Ok(None) };
     let (member, mut founders) = (settings.member.clone(), settings.founders.clone());
     if founders.is_empty() {
         founders.push(member.clone());
     }
-    let (handle, _packets) =
-        ControlHandle::open(ReplicaSettings { member, folder, founders, seed })?;
-    Ok(Some(handle))
+    let part = ControlHandle::open(ReplicaSettings { member, folder, founders, seed })?;
+    Ok(Some(part))
 }
 
 fn fleet_settings(settings: &DaemonSettings, started_us: u64) -> FleetSettings {
