model, fleet: what a VM knows by itself, for its metrics page

Cause: status and capacity of OperatorPort now ask all VMs. An operator does so now and then; a metrics page is read on each VM every few seconds, and all would ask all. Change: LocalPort, a port beside it that asks nobody, and its side in the fleet. Additive, in crates that are not mine.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,7 +13,7 @@
 //! - [`leader`], [`link_health`]: which replica to ask, and which connection has gone silent.
 //!
 //! Input and output: [`wire`] the messages, [`hello`], [`link`] and [`server`] the connections,
-//! [`entry`], [`replicas`], [`operators`] and [`packets`] what the handle does.
+//! [`entry`], [`replicas`], [`operators`], [`local`] and [`packets`] what the handle does.
 
 pub mod asks;
 pub mod directory;
@@ -29,6 +29,7 @@
 pub mod leader;
 pub mod link;
 pub mod link_health;
+pub mod local;
 pub mod membership;
 pub mod operators;
 pub mod packets;
--- a/crates/model/src/ports.rs
+++ b/crates/model/src/ports.rs
@@ -13,7 +13,7 @@
     names::MemberName,
     numbers::{ConfigNumber, GroupNumber},
     patch::{ConfigPatch, PatchId, PatchRecord, PatchResult},
-    report::{CapacityRow, MemberRow, PlacerRow, StatusReport, UpstreamRow},
+    report::{CapacityRow, LocalReport, MemberRow, PlacerRow, StatusReport, UpstreamRow},
     slot::{SlotAsk, SlotGrant, SlotSettle},
 };
 use derive::domain;
@@ -200,3 +200,12 @@
         group: GroupNumber,
     ) -> impl Future<Output = Result<u64, ControlFault>> + Send;
 }
+
+/// What a VM knows by itself. Called by `platform`, implemented by the fleet.
+///
+/// It is apart from [`OperatorPort`], whose lists ask other VMs: an operator does so now and then,
+/// while each VM's metrics page is read every few seconds, which would make all ask all.
+pub trait LocalPort: Send + Sync + 'static {
+    /// Returns what the VM knows, without asking another. `None` where its control thread has ended.
+    fn local(&self) -> impl Future<Output = Option<LocalReport>> + Send;
+}
--- a/crates/model/src/report.rs
+++ b/crates/model/src/report.rs
@@ -170,3 +170,22 @@
     /// The replicas that catch up.
     pub learners: Vec<MemberName>,
 }
+
+/// What one VM knows by itself, without asking another: for its metrics page.
+#[domain]
+pub struct LocalReport {
+    /// The configuration in force there.
+    pub number: ConfigNumber,
+    /// How many VMs it knows, itself among them.
+    pub members: u32,
+    /// How many of these are lost.
+    pub lost: u32,
+    /// The replicas of the VM.
+    pub groups: Vec<GroupRow>,
+    /// Its placers.
+    pub placers: Vec<PlacerRow>,
+    /// Their capacity.
+    pub capacity: Vec<CapacityRow>,
+    /// How many upstreams each of them has out of service, ejected or on trial.
+    pub ejected: Vec<(ServiceName, u32)>,
+}
