--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -27,6 +27,7 @@
     server::{PlatformError, PlatformPages, PlatformServer},
 };
 use snafu::{ResultExt, Snafu};
+use tokio::time::{Instant, sleep};
 use upstream::{
     announce::{AnnounceError, AnnounceServer},
     pool::ConnectionPool,
@@ -89,6 +90,13 @@
 /// notice the silence and choose a leader themselves, which only takes longer.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
 
+/// How long the ends of the last calls may take to reach their placers. A placer that cannot be
+/// reached for so long gives the slots back by itself.
+const ENDS_LIMIT: Duration = Duration::from_secs(2);
+
+/// How often that is looked at.
+const ENDS_PERIOD: Duration = Duration::from_millis(10);
+
 /// A running daemon.
 pub struct DaemonNode {
     fleet: FleetNode,
@@ -191,14 +199,28 @@
         self.callers.begin_closing();
         self.fleet.begin_drain();
         let lame_duck = self.fleet.config_in_force().load().settings().lame_duck_ms;
-        let lame_duck = tokio::time::sleep(Duration::from_millis(u64::from(lame_duck)));
+        let lame_duck = sleep(Duration::from_millis(u64::from(lame_duck)));
         tokio::join!(lame_duck, hand_over(self.control.as_ref()));
         self.callers.drain().await;
+        report_ends(&self.fleet).await;
         self.operators.drain().await;
         info!("stopped");
     }
 }
 
+/// Waits until the placers know of the last calls' ends. Without it they would count the slots as
+/// busy until they notice that this VM is gone.
+async fn report_ends(fleet: &FleetNode) {
+    let left = || fleet.ends_waiting() + fleet.grants_held();
+    let deadline = Instant::now() + ENDS_LIMIT;
+    while left() > 0 && Instant::now() < deadline {
+        sleep(ENDS_PERIOD).await;
+    }
+    if left() > 0 {
+        log::warn!(left = left(); "some ends of calls were not reported to their placers");
+    }
+}
+
 async fn hand_over(control: Option<&ControlHandle>) {
     let Some(control) = control else { return };
     if let Err(error) = control.hand_over(HAND_OVER_LIMIT).await {
--- a/crates/platform/src/server.rs
+++ b/crates/platform/src/server.rs
@@ -15,7 +15,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use model::ports::OperatorPort;
+use model::ports::LocalPort;
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -58,7 +58,7 @@
     pub ready: ReadySwitch,
     /// What was counted.
     pub metrics: FleetMetrics,
-    /// Who is asked for what the fleet knows.
+    /// Who is asked for what the VM knows.
     pub port: Arc<P>,
 }
 
@@ -75,7 +75,7 @@
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
-    pub async fn bind<P: OperatorPort>(
+    pub async fn bind<P: LocalPort>(
         address: SocketAddr,
         pages: PlatformPages<P>,
     ) -> Result<Self, PlatformError> {
@@ -97,7 +97,7 @@
     }
 }
 
-async fn serve<P: OperatorPort>(listener: TcpListener, pages: Arc<PlatformPages<P>>) {
+async fn serve<P: LocalPort>(listener: TcpListener, pages: Arc<PlatformPages<P>>) {
     let room = Arc::new(Semaphore::new(CONNECTIONS_LIMIT));
     loop {
         let permit = room.clone().acquire_owned().await.expect("the semaphore is never closed");
@@ -111,7 +111,7 @@
     }
 }
 
-async fn serve_one<P: OperatorPort>(
+async fn serve_one<P: LocalPort>(
     stream: TcpStream,
     pages: Arc<PlatformPages<P>>,
     permit: OwnedSemaphorePermit,
@@ -128,7 +128,7 @@
     drop(permit);
 }
 
-async fn answer<P: OperatorPort>(
+async fn answer<P: LocalPort>(
     request: &Request<Incoming>,
     pages: &PlatformPages<P>,
 ) -> Response<Full<Bytes>> {
@@ -151,7 +151,7 @@
     }
 }
 
-async fn metrics<P: OperatorPort>(pages: &PlatformPages<P>) -> Response<Full<Bytes>> {
+async fn metrics<P: LocalPort>(pages: &PlatformPages<P>) -> Response<Full<Bytes>> {
     match pages.metrics.page(pages.port.as_ref()).await {
         Ok(page) => {
             let mut response = text(StatusCode::OK, page);
