--- a/crates/trial/tests/whole_path.rs
+++ b/crates/trial/tests/whole_path.rs
@@ -1,26 +1,20 @@
 //! The promises on the whole path: daemons, upstreams, balancer and callers on loopback.
 
-use std::{sync::Arc, time::Duration};
+mod support;
+
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
+use model::names::UpstreamName;
+use standin::upstream::FaultPlan;
+use support::{eventually, start_load};
 use trial::{
-    balancer::BalancerStandin,
     deployment::Deployment,
     guild,
-    load::{LoadPlan, LoadRun},
     promise::{broken_by_kill, broken_promises},
+    watch::EjectionWatch,
 };
 
-fn start_load(deployment: &Deployment) -> LoadRun {
-    let plan = LoadPlan {
-        routes: deployment.plan.routes.clone(),
-        callers: 12,
-        pause: Duration::from_millis(2),
-        seed: 3,
-    };
-    LoadRun::spawn(&plan, &Arc::new(BalancerStandin::spawn(deployment.entries())))
-}
-
 async fn guild(daemons: usize, replicas: usize) -> Deployment {
     Deployment::spawn(guild::plan(3), daemons, replicas).await.unwrap()
 }
@@ -58,3 +52,56 @@
     let tally = load.finish().await;
     expect_that!(broken_by_kill(&tally, &deployment.runs_by_key()), is_empty());
 }
+
+// FAILURES.md row 9, on the whole path.
+// Callers see no error: reads are tried again elsewhere until the upstream is out. It answers its
+// announcements and fails 30% of its reads; its placer compares it with its peers and ejects it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_9_a_gray_upstream_is_ejected_and_no_other() {
+    let deployment = Deployment::spawn(guild::plan(5), 3, 1).await.unwrap();
+    let operators = deployment.running().map(|node| node.operator_address()).collect();
+    let watch = EjectionWatch::spawn(operators);
+    let mut load = start_load(&deployment);
+    load.after(300).await;
+    let gray = gray_one(&deployment, 0.3);
+    let started = Instant::now();
+    let ejected = eventually(async || watch.ejected_at(&gray).is_some()).await;
+    expect_true!(ejected);
+    expect_that!(started.elapsed(), lt(Duration::from_secs(10)));
+    load.after(300).await;
+    let tally = load.finish().await;
+    expect_that!(broken_promises(&tally, &deployment.runs_by_key()), is_empty());
+    expect_that!(watch.false_ejections(&gray), eq(0));
+}
+
+// FAILURES.md row 13, on the whole path.
+// Reads go on. With three upstreams of 4 slots and a floor of 7, one failing upstream can be
+// ejected; then a healthy one leaves, the rest falls below the floor, and the ejected one is back.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_13_an_ejected_upstream_returns_when_another_leaves() {
+    let deployment = guild(3, 1).await;
+    let operators = deployment.running().map(|node| node.operator_address()).collect();
+    let watch = EjectionWatch::spawn(operators);
+    let mut load = start_load(&deployment);
+    load.after(300).await;
+    let gray = gray_one(&deployment, 0.5);
+    let ejected = eventually(async || watch.ejected_at(&gray).is_some()).await;
+    expect_true!(ejected);
+    deployment.upstreams[1].leave().await.unwrap();
+    let (before, left) = (deployment.upstreams[0].ran(), Instant::now());
+    let back = eventually(async || deployment.upstreams[0].ran() > before + 5).await;
+    expect_true!(back);
+    // Well before the 10 s of its time out, after which trial calls would reach it anyway.
+    expect_that!(left.elapsed(), lt(Duration::from_secs(5)));
+    let tally = load.finish().await;
+    expect_that!(broken_promises(&tally, &deployment.runs_by_key()), is_empty());
+}
+
+/// Makes the first upstream, one of the cluebook's, fail a share of its calls.
+fn gray_one(deployment: &Deployment, errors: f64) -> UpstreamName {
+    let upstream = &deployment.upstreams[0];
+    upstream.set_fault(FaultPlan { errors, ..FaultPlan::NONE });
+    upstream.settings().upstream.clone()
+}
