caller: bounded room for large bodies; a body sent byte by byte takes its length

Cause: 4,096 payments of 1 MiB could be held at once; a body in chunks of one byte was kept as one handle of 32 bytes for each byte. Change: large_bodies (64) bounds keyed calls whose body is over 64 KiB, one more is refused as not run; chunks after the first are joined in one buffer.

--- a/crates/caller/src/body.rs
+++ b/crates/caller/src/body.rs
@@ -1,7 +1,6 @@
 //! Bodies: whole ones that can be sent again, and such that stream through in bounded memory.
 
 use std::{
-    collections::VecDeque,
     fmt,
     pin::Pin,
     sync::{Mutex, PoisonError},
@@ -9,7 +8,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::HeaderMap;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, combinators::UnsyncBoxBody};
@@ -82,41 +81,40 @@
 }
 
 /// What has been read of a body.
+///
+/// A body of one chunk, as most are, is not copied. More chunks are copied into one buffer: kept as
+/// they come, a body sent byte by byte would take many times its length.
 #[derive(Debug, Default)]
 pub(crate) struct BodyStart {
-    chunks: Vec<Bytes>,
-    length: usize,
+    only: Bytes,
+    joined: BytesMut,
     trailers: Option<HeaderMap>,
 }
 
 impl BodyStart {
     pub(crate) fn push(&mut self, frame: Frame<Bytes>) {
         match frame.into_data() {
+            Ok(data) if self.length() == 0 => self.only = data,
             Ok(data) => {
-                self.length += data.len();
-                self.chunks.push(data);
+                self.joined.extend_from_slice(&std::mem::take(&mut self.only));
+                self.joined.extend_from_slice(&data);
             }
             Err(frame) => self.trailers = frame.into_trailers().ok(),
         }
     }
 
     pub(crate) fn length(&self) -> usize {
-        self.length
+        self.only.len() + self.joined.len()
     }
 
-    /// Returns the beginning as a queue, for a body that goes on.
-    pub(crate) fn into_chunks(self) -> VecDeque<Bytes> {
-        self.chunks.into()
+    /// Returns the bytes, for a body that goes on.
+    pub(crate) fn into_data(self) -> Bytes {
+        if self.only.is_empty() { self.joined.freeze() } else { self.only }
     }
 
-    /// Joins the chunks. A body of one chunk, as most are, is not copied.
     pub(crate) fn into_whole(mut self) -> WholeBody {
-        let data = match self.chunks.len() {
-            0 => Bytes::new(),
-            1 => self.chunks.remove(0),
-            _ => self.chunks.concat().into(),
-        };
-        WholeBody { data, trailers: self.trailers }
+        let trailers = self.trailers.take();
+        WholeBody { data: self.into_data(), trailers }
     }
 }
 
@@ -154,7 +152,7 @@
 
 /// A request body that streams through: its beginning, and the rest as it comes, within limits.
 pub(crate) struct StreamedBody {
-    start: VecDeque<Bytes>,
+    start: Bytes,
     rest: Incoming,
     left: u64,
     idle: Duration,
@@ -172,7 +170,7 @@
     ) -> Self {
         let left = limit.saturating_sub(start.length() as u64);
         let timer = Box::pin(sleep(idle));
-        Self { start: start.into_chunks(), rest, left, idle, until, timer }
+        Self { start: start.into_data(), rest, left, idle, until, timer }
     }
 
     fn restart_timer(&mut self) {
@@ -189,9 +187,10 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(chunk) = self.start.pop_front() {
+        if !self.start.is_empty() {
+            let start = std::mem::take(&mut self.start);
             self.restart_timer();
-            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+            return Poll::Ready(Some(Ok(Frame::data(start))));
         }
         let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(context) else {
             ready!(self.timer.as_mut().poll(context));
@@ -214,7 +213,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let start: usize = self.start.iter().map(Bytes::len).sum();
+        let start = self.start.len();
         let rest = self.rest.size_hint();
         rest.exact().map_or_else(SizeHint::new, |rest| SizeHint::with_exact(rest + start as u64))
     }
--- a/crates/caller/src/entry.rs
+++ b/crates/caller/src/entry.rs
@@ -31,6 +31,7 @@
     answer::{CallReject, CallerBody, failed, refused},
     budget::ServiceBudgets,
     limits::CallLimits,
+    reader::ReadRules,
     repeat::RepeatedRun,
     request::{CallContext, RoutedCall},
     tries::{PlacedTry, TryAnswer, TryReason, slot_ask},
@@ -57,6 +58,7 @@
 pub struct CallEntry<S, L> {
     pub(crate) parts: EntryParts<S, L>,
     pub(crate) limits: CallLimits,
+    reading: ReadRules,
     /// What runs on when its caller is gone.
     pub(crate) tasks: TaskTracker,
     next_call: AtomicU64,
@@ -100,6 +102,7 @@
         Self {
             parts,
             limits,
+            reading: ReadRules::new(&limits),
             tasks: TaskTracker::new(),
             next_call: AtomicU64::new(1),
             budgets: ServiceBudgets::default(),
@@ -171,7 +174,7 @@
         let (parts, body) = request.into_parts();
         let number = CallNumber(self.next_call.fetch_add(1, Ordering::Relaxed));
         let routed = RoutedCall::open(number, parts, &self.parts.config.load())?;
-        routed.read(body, peer, &self.limits).await
+        routed.read(body, peer, &self.reading).await
     }
 
     async fn run_unprotected(&self, context: &CallContext) -> Response<CallerBody> {
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -4,7 +4,7 @@
 //! - `connection`: serves one connection;
 //! - [`limits`]: what one VM takes from its callers;
 //! - [`entry`]: the path of one call, from its route to its outcome;
-//! - `request`: reads a request's head and body;
+//! - `request`, `reader`: read a request's head and its body;
 //! - `tries`: one try of a call at one upstream;
 //! - `budget`: what may be tried again;
 //! - `repeat`: the run of an idempotent call;
@@ -24,6 +24,7 @@
 mod headers;
 mod keyed;
 pub mod limits;
+mod reader;
 mod relay;
 mod repeat;
 mod request;
--- a/crates/caller/src/limits.rs
+++ b/crates/caller/src/limits.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-/// Limits towards callers. The defaults hold the memory that callers can take on a small VM: at the
-/// most `calls` times `repeat_bytes` for requests, and as much for the beginnings of answers.
+/// Limits towards callers. They bound the memory that callers can take: at the most `calls` times
+/// `repeat_bytes` for requests, as much for the beginnings of answers, and `large_bodies` times
+/// `keyed_bytes`.
 #[derive(Clone, Copy, Debug)]
 pub struct CallLimits {
     /// Connections at once. One more is answered with a refusal and closed.
@@ -21,6 +22,9 @@
     pub repeat_bytes: usize,
     /// Bytes of a keyed call's body, which must be whole for its digest before anything is sent.
     pub keyed_bytes: usize,
+    /// Keyed calls at once whose body is larger than `repeat_bytes`. One more is refused: without
+    /// this bound, payments of the largest size could take `calls` times `keyed_bytes`.
+    pub large_bodies: usize,
     /// Bytes of a body that streams through.
     pub stream_bytes: u64,
     /// How long a caller may take to send a head, and how long its connection may be idle.
@@ -43,6 +47,7 @@
             headers: 100,
             repeat_bytes: 64 * 1_024,
             keyed_bytes: 1_024 * 1_024,
+            large_bodies: 64,
             stream_bytes: 1_024 * 1_024 * 1_024,
             head_timeout: Duration::from_secs(10),
             body_idle: Duration::from_secs(10),
--- a/crates/caller/src/relay.rs
+++ b/crates/caller/src/relay.rs
@@ -5,7 +5,6 @@
 //! call may take. Memory is bounded by the frames of the channel.
 
 use std::{
-    collections::VecDeque,
     pin::Pin,
     task::{Context, Poll, ready},
 };
@@ -41,7 +40,7 @@
 /// it fails, at which the HTTP library closes the connection (HTTP/1.1) or resets the stream
 /// (HTTP/2) instead of ending the answer.
 pub(crate) struct RelayedBody {
-    start: VecDeque<Bytes>,
+    start: Bytes,
     frames: mpsc::Receiver<RelayFrame>,
     ended: bool,
 }
@@ -52,7 +51,7 @@
     pub(crate) fn spawn(start: BodyStart, rest: AnswerBody, until: Instant) -> Self {
         let (sender, frames) = mpsc::channel(FRAMES_LIMIT);
         tokio::spawn(relay(rest, sender, until));
-        Self { start: start.into_chunks(), frames, ended: false }
+        Self { start: start.into_data(), frames, ended: false }
     }
 
     /// Returns the same, with the work that passes the answer on. That work goes on without the
@@ -63,7 +62,7 @@
         until: Instant,
     ) -> (Self, impl Future<Output = bool> + Send + use<>) {
         let (sender, frames) = mpsc::channel(FRAMES_LIMIT);
-        let relayed = Self { start: start.into_chunks(), frames, ended: false };
+        let relayed = Self { start: start.into_data(), frames, ended: false };
         (relayed, relay_to_end(rest, sender, until))
     }
 }
@@ -120,8 +119,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(chunk) = self.start.pop_front() {
-            return Poll::Ready(Some(Ok(Frame::data(chunk))));
+        if !self.start.is_empty() {
+            let start = std::mem::take(&mut self.start);
+            return Poll::Ready(Some(Ok(Frame::data(start))));
         }
         if self.ended {
             return Poll::Ready(None);
--- a/crates/caller/src/request.rs
+++ b/crates/caller/src/request.rs
@@ -3,10 +3,9 @@
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use http::{HeaderMap, StatusCode, Version, header, request::Parts};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use model::{
-    call::{CALLER_HEADER, CallClass, CallRefusal, DEADLINE_HEADER, KEY_HEADER, RefusalReason},
+    call::{CALLER_HEADER, CallRefusal, DEADLINE_HEADER, KEY_HEADER, RefusalReason},
     config::FleetConfig,
     ledger::CallKey,
     names::{CallerName, RouteName},
@@ -14,23 +13,16 @@
     route::RouteRule,
     slot::RequestFingerprint,
 };
-use tokio::time::{Instant, timeout_at};
+use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use crate::{
     answer::CallReject,
-    body::{BodyStart, CallBody, StreamedBody},
+    body::CallBody,
     digest::fingerprint,
     headers::{asks_upgrade, has_looped, prepare},
-    limits::CallLimits,
+    reader::ReadRules,
 };
 
-const TOO_LARGE: CallReject =
-    CallReject::Broken { status: StatusCode::PAYLOAD_TOO_LARGE, text: "the body is too large" };
-const TOO_SLOW: CallReject =
-    CallReject::Broken { status: StatusCode::REQUEST_TIMEOUT, text: "the body came too slowly" };
-const BROKEN_OFF: CallReject =
-    CallReject::Broken { status: StatusCode::BAD_REQUEST, text: "the body was broken off" };
-
 /// What the tries of one call have in common.
 pub(crate) struct CallContext {
     pub(crate) number: CallNumber,
@@ -42,6 +34,8 @@
     pub(crate) parts: Parts,
     pub(crate) body: CallBody,
     pub(crate) until: Instant,
+    /// Counts the call among those with a large body, as long as it lasts.
+    _large: Option<OwnedSemaphorePermit>,
 }
 
 impl CallContext {
@@ -103,9 +97,9 @@
         mut self,
         body: Incoming,
         peer: IpAddr,
-        limits: &CallLimits,
+        rules: &ReadRules,
     ) -> Result<CallContext, CallReject> {
-        let body = read_body(body, self.rule.class, limits, self.until).await?;
+        let (body, large) = rules.read(body, self.rule.class, self.until).await?;
         let start = match &body {
             CallBody::Whole(body) => body.data.clone(),
             CallBody::Streamed(_) => Default::default(),
@@ -122,6 +116,7 @@
             parts: self.parts,
             body,
             until: self.until,
+            _large: large,
         })
     }
 }
@@ -154,39 +149,6 @@
     Ok((name.clone(), rule.clone()))
 }
 
-async fn read_body(
-    mut body: Incoming,
-    class: CallClass,
-    limits: &CallLimits,
-    until: Instant,
-) -> Result<CallBody, CallReject> {
-    let keyed = class == CallClass::KeyRequired;
-    let keep = if keyed { limits.keyed_bytes } else { limits.repeat_bytes };
-    let most = if keyed { limits.keyed_bytes as u64 } else { limits.stream_bytes };
-    if body.size_hint().lower() > most {
-        return Err(TOO_LARGE);
-    }
-    let mut start = BodyStart::default();
-    while !body.is_end_stream() {
-        let next = (Instant::now() + limits.body_idle).min(until);
-        let frame = match timeout_at(next, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return Err(BROKEN_OFF),
-            Ok(None) => break,
-            Err(_) => return Err(TOO_SLOW),
-        };
-        start.push(frame);
-        if start.length() > keep && keyed {
-            return Err(TOO_LARGE);
-        }
-        if start.length() > keep {
-            let body = StreamedBody::new(start, body, most, limits.body_idle, until);
-            return Ok(CallBody::streamed(body));
-        }
-    }
-    Ok(CallBody::Whole(start.into_whole()))
-}
-
 fn deadline_of(headers: &HeaderMap) -> Result<Option<u32>, CallReject> {
     let Some(value) = headers.get(DEADLINE_HEADER) else { return Ok(None) };
     let parsed = value.to_str().ok().and_then(|text| text.trim().parse().ok());
--- a/crates/caller/tests/limits.rs
+++ b/crates/caller/tests/limits.rs
@@ -29,6 +29,7 @@
         connections: 4,
         calls: 2,
         keyed_bytes: 1_000,
+        large_bodies: 1,
         repeat_bytes: 500,
         stream_bytes: 5_000,
         head_timeout: QUICK,
@@ -95,6 +96,25 @@
     expect_that!(upstream.ran(), eq(0));
 }
 
+// One payment with a large body is being read or run; the next finds no room for its body. It is
+// refused as not run, with a time to come back, and a small payment goes on.
+#[gtest]
+#[tokio::test]
+async fn row_27_large_bodies_are_bounded_in_number() {
+    let (vm, upstream) = tight_vm(Duration::from_millis(300)).await;
+    let large = tokio::spawn(call(vm.address(), payment(key(1), &[7; 900])));
+    wait_until("the first runs", || upstream.ran() == 1).await;
+
+    let refused = call(vm.address(), payment(key(2), &[7; 900])).await.unwrap();
+    let small = call(vm.address(), payment(key(3), &[7; 90])).await.unwrap();
+
+    expect_that!(refused.status.as_u16(), eq(429));
+    expect_that!(refused.header(OUTCOME_HEADER), eq("not-run"));
+    expect_that!(refused.header("retry-after"), eq("1"));
+    expect_that!(small.status.as_u16(), eq(200));
+    expect_that!(large.await.unwrap().unwrap().status.as_u16(), eq(200));
+}
+
 // A body without a stated length grows beyond the bound after its beginning has gone to the upstream.
 // The upload is broken off there, and the caller is told that the call may have run.
 #[gtest]
