--- a/crates/control/benches/bounds_control.rs
+++ b/crates/control/benches/bounds_control.rs
@@ -22,7 +22,7 @@
 use control::{
     disk::{
         folder::DataFolder,
-        store::{LogStore, OpenStore, StoreFault, StoreOpener},
+        store::{LogStore, OpenStore, SnapshotWriter, StoreFault, StoreOpener},
     },
     fault::ControlError,
     handle::ControlHandle,
@@ -112,8 +112,8 @@
         self.inner.write(writes)
     }
 
-    fn save_snapshot(&mut self, image: &SnapshotImage) -> Result<(), StoreFault> {
-        self.inner.save_snapshot(image)
+    fn snapshot_writer(&self) -> SnapshotWriter {
+        self.inner.snapshot_writer()
     }
 
     fn rewrite(&mut self, image: &SnapshotImage, writes: &[LogWrite]) -> Result<(), StoreFault> {
@@ -447,7 +447,7 @@
     let started = Instant::now();
     let image = state.encode();
     let took = started.elapsed();
-    table.show("a snapshot of 500,000 keys, on the replicas' thread", &format!("{took:.0?}"));
+    table.show("encoding a snapshot of 500,000 keys, on its own thread", &format!("{took:.0?}"));
     table.at_most("bytes of snapshot a kept key", ratio(image.len() as u64, KEYS), 120.0);
 }
 
--- a/crates/control/src/disk/group_file.rs
+++ b/crates/control/src/disk/group_file.rs
@@ -15,7 +15,7 @@
             DamagePlace, PREAMBLE, check_preamble, damage, frame_at, preamble, put_frame,
             read_frames,
         },
-        store::{LogStore, StoreFault},
+        store::{LogStore, SnapshotWriter, StoreFault},
     },
     fault::{ControlError, DamageKind},
     replica::{
@@ -171,7 +171,11 @@
             return Ok(());
         }
         let target = needed.next_multiple_of(GROW_STEP);
-        stored(self.file.allocate(target), "making room", &self.path)?;
+        match self.file.allocate(target) {
+            // A file system that cannot take room ahead: a full disk shows at the write then.
+            Err(error) if error.kind() == ErrorKind::Unsupported => (),
+            other => stored(other, "making room", &self.path)?,
+        }
         self.allocated = target;
         Ok(())
     }
@@ -188,15 +192,15 @@
         Ok(())
     }
 
-    fn save_snapshot(&mut self, image: &SnapshotImage) -> Result<(), StoreFault> {
-        let mut bytes = preamble().to_vec();
-        put_frame(&mut bytes, 0, u64::from(self.group.0), &encode(image));
-        replace_file(&self.snapshot_path(image.index), &bytes)?;
-        Ok(())
+    fn snapshot_writer(&self) -> SnapshotWriter {
+        let (folder, group) = (self.folder.clone(), self.group);
+        Box::new(move |image| write_snapshot(&folder, group, image))
     }
 
     fn rewrite(&mut self, image: &SnapshotImage, writes: &[LogWrite]) -> Result<(), StoreFault> {
-        self.save_snapshot(image)?;
+        if !self.snapshot_path(image.index).exists() {
+            write_snapshot(&self.folder, self.group, image)?;
+        }
         let index = Some(image.index);
         *self = Self::write_file(&self.folder, self.group, self.id, index, writes)?;
         self.remove_other_snapshots(image.index);
@@ -222,7 +226,7 @@
         memory,
         snapshot: header.snapshot,
         end: end as u64,
-        torn: bytes[end..].iter().any(|byte| *byte != 0),
+        torn: bytes.get(end..).is_some_and(|rest| rest.iter().any(|byte| *byte != 0)),
         salt: header.salt,
         sequence,
     })
@@ -257,6 +261,17 @@
     Ok((frames.len() as u64 + 1, end))
 }
 
+fn write_snapshot(
+    folder: &Path,
+    group: GroupNumber,
+    image: &SnapshotImage,
+) -> Result<(), StoreFault> {
+    let mut bytes = preamble().to_vec();
+    put_frame(&mut bytes, 0, u64::from(group.0), &encode(image));
+    replace_file(&snapshot_path(folder, image.index), &bytes)?;
+    Ok(())
+}
+
 fn read_snapshot(
     folder: &Path,
     group: GroupNumber,
--- a/crates/control/src/disk/store.rs
+++ b/crates/control/src/disk/store.rs
@@ -27,6 +27,9 @@
     },
 }
 
+/// Stores a snapshot. Durable when it returns.
+pub type SnapshotWriter = Box<dyn FnOnce(&SnapshotImage) -> Result<(), StoreFault> + Send>;
+
 /// The memory of one replica on a disk.
 pub trait LogStore: Send {
     /// Makes sure that there is room for so many more bytes.
@@ -43,12 +46,9 @@
     /// Fails when there is no room or the disk cannot be trusted any more.
     fn write(&mut self, writes: &[LogWrite]) -> Result<(), StoreFault>;
 
-    /// Stores a snapshot beside the log, which stays in force. Durable when it returns.
-    ///
-    /// # Errors
-    ///
-    /// Fails as [`Self::write`] does.
-    fn save_snapshot(&mut self, image: &SnapshotImage) -> Result<(), StoreFault>;
+    /// Returns what stores a snapshot beside the log, which stays in force. It may run on another
+    /// thread while the store goes on.
+    fn snapshot_writer(&self) -> SnapshotWriter;
 
     /// Puts a snapshot, stored already or not, and writes in the place of all that is stored.
     ///
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -83,7 +83,6 @@
     origin: Instant,
     groups: BTreeMap<GroupNumber, GroupRunner>,
     waiting: HashMap<RequestNumber, AnswerSender>,
-    stored: Vec<(AnswerSender, Result<GroupAnswer, ReplicaFault>)>,
     next_request: u64,
     forget_at: Instant,
 }
@@ -105,7 +104,6 @@
             origin: Instant::now(),
             groups: BTreeMap::new(),
             waiting: HashMap::new(),
-            stored: Vec::new(),
             next_request: 0,
             forget_at: Instant::now(),
         };
@@ -218,10 +216,7 @@
             DriverAsk::Claim(claim) => GroupRequest::Command(StateCommand::Claim { view, claim }),
             DriverAsk::Close(close) => GroupRequest::Command(StateCommand::Close { view, close }),
             DriverAsk::Snapshot => {
-                let index = runner.snapshot()?;
-                // The log is written anew by the flush that follows.
-                self.stored.push((answer, index.map(GroupAnswer::Confirmed)));
-                return Ok(());
+                return runner.begin_cut(Some(answer));
             }
         };
         self.next_request += 1;
@@ -248,6 +243,7 @@
         let now = self.now();
         for runner in self.groups.values_mut() {
             runner.tick(now)?;
+            runner.end_cut()?;
             runner.cut_when_long()?;
         }
         if Instant::now() >= self.forget_at {
@@ -283,7 +279,8 @@
                 reply(answer, end);
             }
         }
-        for (answer, end) in self.stored.drain(..) {
+        // The log is written anew by now.
+        for (answer, end) in self.groups.values_mut().flat_map(GroupRunner::take_cut_ends) {
             reply(answer, end);
         }
         Ok(())
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -6,7 +6,7 @@
     fault::{COME_BACK, RefusalReason, ReplicaFault},
     replica::{
         core::{CoreOutput, CoreParts, ReplicaCore},
-        entry::{ENTRY_LIMIT, EntryBody, ReplicaId, SnapshotImage},
+        entry::{ENTRY_LIMIT, EntryBody, ReplicaId, SeatList, SnapshotImage},
         message::ReplicaMessage,
     },
     state::{
@@ -68,6 +68,23 @@
     answers: Vec<AnswerPair>,
 }
 
+/// What a snapshot is made from. Cheap to make: the state's copy shares its content.
+#[derive(Clone, Debug)]
+pub struct SnapshotSource {
+    index: u64,
+    term: u64,
+    seats: SeatList,
+    state: GroupState,
+}
+
+impl SnapshotSource {
+    /// Makes the snapshot, which takes a while.
+    pub fn image(self) -> SnapshotImage {
+        let bytes = Arc::from(self.state.encode());
+        SnapshotImage { index: self.index, term: self.term, seats: self.seats, bytes }
+    }
+}
+
 impl GroupReplica {
     /// Opens a replica from what it remembers.
     ///
@@ -329,13 +346,17 @@
         self.hand_overs.retain(|number| !gone(*number));
     }
 
-    /// Returns a snapshot of the state, if it holds more than the last one.
-    pub fn image(&self) -> Option<SnapshotImage> {
-        let newer = self.applied > self.core.log().base_index();
-        newer.then(|| self.core.image(self.applied, Arc::from(self.state.encode())))?
+    /// Returns what a snapshot of the state is made from, if it holds more than the last one.
+    pub fn snapshot_source(&self) -> Option<SnapshotSource> {
+        let index = self.applied;
+        if index <= self.core.log().base_index() {
+            return None;
+        }
+        let (term, seats) = self.core.place_of(index)?;
+        Some(SnapshotSource { index, term, seats, state: self.state.clone() })
     }
 
-    /// Cuts the log at a snapshot that [`Self::image`] gave and that is stored already.
+    /// Cuts the log at a snapshot of this replica's own that is stored already.
     pub fn compact(&mut self, image: SnapshotImage) {
         self.core.compact(image);
     }
--- a/crates/control/src/replica/core.rs
+++ b/crates/control/src/replica/core.rs
@@ -274,10 +274,10 @@
         writes
     }
 
-    /// Makes the snapshot of a committed entry. `None` where that entry is cut off already.
-    pub fn image(&self, index: u64, bytes: Arc<[u8]>) -> Option<SnapshotImage> {
+    /// Returns the term of a committed entry and the seats as of it. `None` where it is cut off.
+    pub fn place_of(&self, index: u64) -> Option<(u64, SeatList)> {
         let term = self.log.term_of(index).filter(|_| index <= self.commit)?;
-        Some(SnapshotImage { index, term, seats: self.seats_at(index), bytes })
+        Some((term, self.seats_at(index)))
     }
 
     /// Replaces the log up to a committed entry by a snapshot of this replica's own.
@@ -314,6 +314,11 @@
         self.term
     }
 
+    /// Returns whom the replica voted for in the present term.
+    pub fn vote(&self) -> Option<ReplicaId> {
+        self.vote
+    }
+
     /// Returns the replica's identity.
     pub fn id(&self) -> ReplicaId {
         self.id
--- a/crates/control/src/runner.rs
+++ b/crates/control/src/runner.rs
@@ -1,22 +1,24 @@
 //! One group's replica with its disk: output is carried out in the order that keeps promises.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, sync::mpsc as std_mpsc, thread};
 
 use crate::{
     disk::store::{LogStore, OpenStore, StoreFault},
-    fault::{ControlError, ReplicaFault},
-    group::{AnswerPair, GroupReplica, GroupRequest, RequestNumber},
+    driver::AnswerSender,
+    fault::{ControlError, ReplicaFault, ThreadSnafu},
+    group::{AnswerPair, GroupAnswer, GroupReplica, GroupRequest, RequestNumber},
     packet::{PACKET_LIMIT, ReplicaPacket},
     replica::{
         core::{CoreOutput, CoreParts, OutMessage},
-        entry::{ENTRY_LIMIT, ReplicaId},
+        entry::{ENTRY_LIMIT, ReplicaId, SnapshotImage},
         message::{MESSAGE_VERSION, MessageEnvelope},
     },
     settings::ReplicaSettings,
     state::command::StateCommand,
 };
 use log::{info, warn};
-use model::{moment::Moment, names::MemberName, numbers::GroupNumber};
+use model::{ledger::RunEnd, moment::Moment, names::MemberName, numbers::GroupNumber};
+use snafu::ResultExt;
 use tokio::sync::mpsc;
 use uuid::Uuid;
 
@@ -38,9 +40,22 @@
     /// promise anything on top of what it could not write.
     stuck: Option<CoreOutput>,
     last_snapshot: u64,
+    /// Room that was taken for commands since the last write.
+    reserved: u64,
+    cut: Option<SnapshotCut>,
+    cut_ends: Vec<(AnswerSender, CutEnd)>,
     packets: mpsc::Sender<ReplicaPacket>,
 }
 
+/// A snapshot that is being stored.
+struct SnapshotCut {
+    done: std_mpsc::Receiver<Result<SnapshotImage, StoreFault>>,
+    askers: Vec<AnswerSender>,
+}
+
+/// The end of a request for a snapshot.
+pub(crate) type CutEnd = Result<GroupAnswer, ReplicaFault>;
+
 impl GroupRunner {
     pub(crate) fn open(
         group: GroupNumber,
@@ -68,8 +83,19 @@
             "replica opened"
         );
         let member = settings.member.clone();
-        let stuck = None;
-        Ok(Self { group, replica, member, id, store, stuck, last_snapshot, packets })
+        Ok(Self {
+            group,
+            replica,
+            member,
+            id,
+            store,
+            stuck: None,
+            last_snapshot,
+            reserved: 0,
+            cut: None,
+            cut_ends: Vec::new(),
+            packets,
+        })
     }
 
     pub(crate) fn tick(&mut self, now: Moment) -> Result<(), ControlError> {
@@ -110,8 +136,9 @@
         if let GroupRequest::Command(command) = &request
             && self.replica.core().takes_commands()
         {
-            match self.store.reserve(room_for(command)) {
-                Ok(()) => (),
+            let room = self.reserved + room_for(command);
+            match self.store.reserve(room) {
+                Ok(()) => self.reserved = room,
                 Err(StoreFault::NoSpace) => return Ok(Err(ReplicaFault::NoSpace)),
                 Err(StoreFault::Fatal { source }) => return Err(source),
             }
@@ -156,6 +183,7 @@
     }
 
     fn store_output(&mut self, output: &CoreOutput) -> Result<(), StoreFault> {
+        self.reserved = 0;
         match &output.rewrite {
             Some(image) => {
                 self.last_snapshot = image.bytes.len() as u64;
@@ -175,33 +203,77 @@
         let _ = self.packets.try_send(packet);
     }
 
-    /// Cuts the log when it has grown long enough.
+    /// Begins to cut the log when it has grown long enough.
     pub(crate) fn cut_when_long(&mut self) -> Result<(), ControlError> {
         let long = self.store.log_bytes() > CUT_BYTES.max(self.last_snapshot);
-        if long && self.stuck.is_none() {
-            // Without room for a snapshot the log goes on as it is.
-            let _ = self.snapshot()?;
+        if long && self.stuck.is_none() && self.cut.is_none() {
+            self.begin_cut(None)?;
         }
         Ok(())
     }
 
-    /// Stores a snapshot and cuts the log. Returns the entry that the snapshot covers.
-    pub(crate) fn snapshot(&mut self) -> Result<Result<u64, ReplicaFault>, ControlError> {
-        if self.stuck.is_some() {
-            return Ok(Err(ReplicaFault::NoSpace));
+    /// Begins to store a snapshot, on a thread of its own: the state's copy shares its content, and
+    /// encoding and syncing hundreds of megabytes here would cost the leadership.
+    pub(crate) fn begin_cut(&mut self, asker: Option<AnswerSender>) -> Result<(), ControlError> {
+        if let Some(cut) = &mut self.cut {
+            cut.askers.extend(asker);
+            return Ok(());
         }
-        let Some(image) = self.replica.image() else {
-            return Ok(Ok(self.replica.core().log().base_index()));
+        let Some(source) = self.replica.snapshot_source() else {
+            let index = self.replica.core().log().base_index();
+            self.answer_cut(asker, &Ok(index));
+            return Ok(());
+        };
+        let writer = self.store.snapshot_writer();
+        let (sender, done) = std_mpsc::channel();
+        let store = move || {
+            let image = source.image();
+            let stored = writer(&image).map(|()| image);
+            // The replicas may have ended meanwhile.
+            let _ = sender.send(stored);
+        };
+        thread::Builder::new().name("snapshot".to_owned()).spawn(store).context(ThreadSnafu)?;
+        self.cut = Some(SnapshotCut { done, askers: asker.into_iter().collect() });
+        Ok(())
+    }
+
+    /// Cuts the log if the snapshot is stored.
+    pub(crate) fn end_cut(&mut self) -> Result<(), ControlError> {
+        let stored = match &self.cut {
+            Some(cut) if self.stuck.is_none() => cut.done.try_recv(),
+            _ => return Ok(()),
         };
-        match self.store.save_snapshot(&image) {
-            Ok(()) => (),
-            Err(StoreFault::NoSpace) => return Ok(Err(ReplicaFault::NoSpace)),
-            Err(StoreFault::Fatal { source }) => return Err(source),
+        let end = match stored {
+            Err(std_mpsc::TryRecvError::Empty) => return Ok(()),
+            Ok(Err(StoreFault::Fatal { source })) => return Err(source),
+            Ok(Ok(image)) => Ok(self.cut_at(image)),
+            // Without room for a snapshot the log goes on as it is.
+            Ok(Err(StoreFault::NoSpace)) | Err(std_mpsc::TryRecvError::Disconnected) => {
+                Err(ReplicaFault::NoSpace)
+            }
+        };
+        let askers = self.cut.take().map(|cut| cut.askers).unwrap_or_default();
+        for asker in askers {
+            self.answer_cut(Some(asker), &end);
         }
+        Ok(())
+    }
+
+    fn cut_at(&mut self, image: SnapshotImage) -> u64 {
         let index = image.index;
         info!(group:% = self.group, index, bytes = image.bytes.len(); "log cut by a snapshot");
         self.replica.compact(image);
-        Ok(Ok(index))
+        index
+    }
+
+    fn answer_cut(&mut self, asker: Option<AnswerSender>, end: &Result<u64, ReplicaFault>) {
+        let end = end.clone().map(GroupAnswer::Confirmed);
+        self.cut_ends.extend(asker.map(|asker| (asker, end)));
+    }
+
+    /// Takes the answers to those who asked for a snapshot, for after the next flush.
+    pub(crate) fn take_cut_ends(&mut self) -> Vec<(AnswerSender, CutEnd)> {
+        std::mem::take(&mut self.cut_ends)
     }
 
     fn damage(&self) -> ControlError {
@@ -219,9 +291,7 @@
         StateCommand::Patch(_) => ENTRY_LIMIT as u64 + SMALL_COMMAND,
         StateCommand::Claim { .. } => SMALL_COMMAND,
         StateCommand::Close { close, .. } => match &close.end {
-            model::ledger::RunEnd::Done { answer: Some(answer) } => {
-                SMALL_COMMAND + 2 * answer.size() as u64
-            }
+            RunEnd::Done { answer: Some(answer) } => SMALL_COMMAND + 2 * answer.size() as u64,
             _ => SMALL_COMMAND,
         },
     }
--- a/crates/control/tests/vm/mod.rs
+++ b/crates/control/tests/vm/mod.rs
@@ -17,7 +17,7 @@
 use control::{
     disk::{
         folder::DataFolder,
-        store::{LogStore, OpenStore, StoreFault, StoreOpener},
+        store::{LogStore, OpenStore, SnapshotWriter, StoreFault, StoreOpener},
     },
     fault::{ControlError, ReplicaFault},
     handle::ControlHandle,
@@ -91,17 +91,22 @@
 
 impl TestVms {
     pub fn open(founders: &[&str]) -> Self {
-        let vms = Self {
+        let vms = Self::empty(founders);
+        for name in founders {
+            vms.start(name);
+        }
+        vms
+    }
+
+    /// Makes the network alone.
+    pub fn empty(founders: &[&str]) -> Self {
+        Self {
             folder: TempFolder::open(),
             founders: founders.iter().map(|&name| name.to_owned()).collect(),
             handles: Handles::default(),
             deaf: Links::default(),
             lost_groups: LostGroups::default(),
-        };
-        for name in founders {
-            vms.start(name);
         }
-        vms
     }
 
     pub fn path(&self, name: &str) -> PathBuf {
@@ -161,13 +166,18 @@
 
     /// Returns the VM that leads a group, while it does.
     pub fn leader(&self, group: GroupNumber) -> Option<String> {
+        self.leader_among(group, |_| true)
+    }
+
+    pub fn leader_among(&self, group: GroupNumber, among: impl Fn(&str) -> bool) -> Option<String> {
         let handles = self.handles.lock().unwrap();
         let leads = |handle: &ControlHandle| {
             let rows = handle.rows();
             let row = rows.into_iter().find(|row| row.group == group)?;
             (row.role == ReplicaRole::Leader).then_some(row.term)
         };
-        let leaders = handles.iter().filter_map(|(name, handle)| Some((leads(handle)?, name)));
+        let wanted = handles.iter().filter(|(name, _)| among(name.as_str()));
+        let leaders = wanted.filter_map(|(name, handle)| Some((leads(handle)?, name)));
         leaders.max().map(|(_, name)| name.to_string())
     }
 
@@ -203,8 +213,20 @@
     /// Waits until a VM has a configuration.
     pub async fn wait_number(&self, name: &str, number: u64) {
         let config = self.handle(name).watch_config();
-        wait_until("the number is there", || config.borrow().number() >= ConfigNumber(number))
-            .await;
+        let until = Instant::now() + PATIENCE;
+        while config.borrow().number() < ConfigNumber(number) {
+            assert!(Instant::now() < until, "{name} never came to {number}: {}", self.dump());
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    fn dump(&self) -> String {
+        let handles = self.handles.lock().unwrap();
+        let lines = handles.iter().map(|(name, handle)| {
+            let number = handle.watch_config().borrow().number();
+            format!("\n{name} at {number}: {:?}", handle.rows())
+        });
+        lines.collect()
     }
 }
 
@@ -229,13 +251,16 @@
 /// What a disk is made to do.
 #[derive(Clone, Default)]
 pub struct DiskFaults {
+    /// No room at all.
     pub full: Arc<AtomicBool>,
+    /// Room when asked for, none when written.
+    pub write_full: Arc<AtomicBool>,
     pub sync_fails: Arc<AtomicBool>,
 }
 
 impl DiskFaults {
     fn check(&self) -> Result<(), StoreFault> {
-        if self.full.load(Ordering::Acquire) {
+        if self.full.load(Ordering::Acquire) || self.write_full.load(Ordering::Acquire) {
             return Err(StoreFault::NoSpace);
         }
         if self.sync_fails.load(Ordering::Acquire) {
@@ -285,9 +310,12 @@
         self.inner.write(writes)
     }
 
-    fn save_snapshot(&mut self, image: &SnapshotImage) -> Result<(), StoreFault> {
-        self.faults.check()?;
-        self.inner.save_snapshot(image)
+    fn snapshot_writer(&self) -> SnapshotWriter {
+        let (faults, inner) = (self.faults.clone(), self.inner.snapshot_writer());
+        Box::new(move |image| {
+            faults.check()?;
+            inner(image)
+        })
     }
 
     fn rewrite(&mut self, image: &SnapshotImage, writes: &[LogWrite]) -> Result<(), StoreFault> {
--- a/crates/control/tests/world/mod.rs
+++ b/crates/control/tests/world/mod.rs
@@ -366,6 +366,7 @@
         }
         assert_eq!(node.disk.log, *core.log(), "the disk holds another log than the replica");
         assert_eq!(node.disk.term, core.term(), "the disk holds another term than the replica");
+        assert_eq!(node.disk.vote, core.vote(), "the disk holds another vote than the replica");
     }
 
     fn post(&mut self, index: usize, messages: Vec<OutMessage>) {
@@ -521,8 +522,8 @@
 
     pub fn compact(&mut self, index: usize) {
         let replica = self.nodes[index].replica.as_mut().unwrap();
-        if let Some(image) = replica.image() {
-            replica.compact(image);
+        if let Some(source) = replica.snapshot_source() {
+            replica.compact(source.image());
         }
         self.flush(index);
     }
