--- a/crates/fleet/src/driver/gossip.rs
+++ b/crates/fleet/src/driver/gossip.rs
@@ -250,12 +250,10 @@
         self.follow(now);
     }
 
-    /// Takes a placer's notice. One of an epoch that is over is not obeyed: its placer has lost the
-    /// duty, perhaps without knowing.
+    /// Takes a placer's notice, if that placer is obeyed.
     fn take_notice(&mut self, notice: &PlacerNotice, now: Moment) {
         let service = notice.subject.service();
-        let obeyed = self.shared.book().obeyed(service, 0).map(|claim| claim.epoch);
-        if obeyed.is_some_and(|epoch| notice.epoch < epoch) {
+        if !notice.is_obeyed(self.shared.book().obeyed(service, 0)) {
             return info!(service:%, epoch:% = notice.epoch, reason = "old epoch"; "notice refused");
         }
         let until = now + Duration::from_millis(u64::from(notice.left_ms));
--- a/crates/fleet/src/fact.rs
+++ b/crates/fleet/src/fact.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 
+use crate::epoch::PlacerClaim;
 use derive::domain;
 use model::{
     announcement::{UpstreamAnnouncement, UpstreamState},
@@ -116,6 +117,14 @@
     pub left_ms: u32,
 }
 
+impl PlacerNotice {
+    /// Tells whether the notice is obeyed by whoever obeys `claim`: not one of an epoch that is over,
+    /// whose placer has lost its duty, perhaps without knowing.
+    pub fn is_obeyed(&self, claim: Option<&PlacerClaim>) -> bool {
+        claim.is_none_or(|claim| self.epoch >= claim.epoch)
+    }
+}
+
 /// One fact.
 #[domain]
 pub enum FleetFact {
--- a/crates/fleet/src/gossip.rs
+++ b/crates/fleet/src/gossip.rs
@@ -11,9 +11,11 @@
 
 mod judge;
 mod message;
+mod offers;
 mod repair;
 
 pub use message::{DigestAnswer, DigestAsk, GossipEcho, GossipPush, SyncAsk};
+use offers::OfferLog;
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -33,7 +35,7 @@
 use rand_pcg::Pcg64Mcg;
 
 /// How often news is told.
-pub const GOSSIP_PERIOD: Duration = Duration::from_millis(100);
+pub const GOSSIP_PERIOD: Duration = Duration::from_millis(200);
 
 /// How many peers are told news each time.
 pub const GOSSIP_FANOUT: usize = 3;
@@ -86,6 +88,7 @@
     seeds: Vec<SocketAddr>,
     store: FactStore,
     rumours: RumourQueue,
+    offers: OfferLog,
     verdicts: MemberVerdicts,
     watch: MemberWatch,
     refutal: MemberRefutal,
@@ -96,6 +99,7 @@
     /// Counts the changes of who is known and who can be reached.
     revision: u64,
     number: ConfigNumber,
+    heard_number: ConfigNumber,
     beat: u64,
     opened: Moment,
     number_told: ConfigNumber,
@@ -115,6 +119,7 @@
             seeds,
             store: FactStore::default(),
             rumours: RumourQueue::default(),
+            offers: OfferLog::default(),
             verdicts: MemberVerdicts::default(),
             watch: MemberWatch::default(),
             refutal: MemberRefutal::default(),
@@ -124,6 +129,7 @@
             ring_stale: false,
             revision: 0,
             number: ConfigNumber::default(),
+            heard_number: ConfigNumber::default(),
             beat: 0,
             opened: now,
             number_told: ConfigNumber::default(),
@@ -183,6 +189,16 @@
         self.number = number;
     }
 
+    /// Returns the number in force here, as it travels with each message.
+    pub fn number(&self) -> ConfigNumber {
+        self.number
+    }
+
+    /// Returns the greatest number that a peer has told.
+    pub fn heard_number(&self) -> ConfigNumber {
+        self.heard_number
+    }
+
     /// Changes what this VM says of itself, and tells it.
     pub fn change_own(&mut self, change: impl FnOnce(&mut MemberRecord), now: Moment) {
         change(&mut self.own);
@@ -217,7 +233,8 @@
         let key = fact.key();
         let reception = self.store.learn(fact.clone(), now);
         if reception == FactReception::News {
-            self.rumours.start(key);
+            self.rumours.start(key.clone());
+            self.offers.learn(key, now);
             self.index(&fact, now);
             self.news.push(fact);
         }
@@ -274,6 +291,7 @@
 
     fn pushes(&mut self, now: Moment) -> Vec<GossipOrder> {
         let mut targets = self.watch.due(now);
+        self.offers.tick(|member| self.watch.is_watched(member), now);
         if self.number_told != self.number {
             // A new configuration goes to all of them at once: it is one number.
             self.number_told = self.number;
@@ -291,23 +309,38 @@
                 }
             }
         }
-        let pushes = targets.into_iter().filter_map(|to| self.push_to(to, now));
+        let mut owed = self.offers.take_owed();
+        targets.extend(owed.keys().filter(|to| !targets.contains(to)).cloned().collect::<Vec<_>>());
+        let pushes = targets.into_iter().filter_map(|to| {
+            let owed = owed.remove(&to).unwrap_or_default();
+            self.push_to(to, owed, now)
+        });
         pushes.collect()
     }
 
-    fn push_to(&mut self, to: MemberName, now: Moment) -> Option<GossipOrder> {
+    fn push_to(
+        &mut self,
+        to: MemberName,
+        mut keys: Vec<FactKey>,
+        now: Moment,
+    ) -> Option<GossipOrder> {
         let address = self.records.get(&to)?.address;
         self.beat += 1;
-        let picked = self.rumours.pick(FACTS_PER_PUSH, self.ring.len());
-        let facts = picked.iter().filter_map(|key| self.store.to_send(key, now)).collect();
+        keys.truncate(FACTS_PER_PUSH);
+        keys.extend(self.rumours.pick(FACTS_PER_PUSH - keys.len(), self.ring.len()));
+        let facts = keys.iter().filter_map(|key| self.store.to_send(key, now)).collect();
+        let watched = self.watch.is_watched(&to);
+        let offers =
+            if watched { self.offers.offer(&to, self.beat, &self.store, now) } else { Vec::new() };
         let lost = self.lost.contains_key(&to);
         let from = self.own.member.clone();
-        let push = GossipPush { from, beat: self.beat, number: self.number, lost, facts };
+        let push = GossipPush { from, beat: self.beat, number: self.number, lost, facts, offers };
         Some(GossipOrder::Push { to, address, push })
     }
 
     /// Takes a push and returns its echo.
     pub fn take_push(&mut self, push: GossipPush, now: Moment) -> GossipEcho {
+        self.heard_number = self.heard_number.max(push.number);
         let mut known = 0;
         for (place, fact) in push.facts.into_iter().take(FACTS_PER_PUSH).enumerate() {
             let key = fact.key();
@@ -319,12 +352,15 @@
         if push.lost {
             self.refute(now);
         }
+        let lacking = push.offers.iter().filter(|one| self.store.key_of_print(**one).is_none());
+        let wanted = lacking.copied().collect();
         GossipEcho {
             beat: push.beat,
             number: self.number,
             known,
             lost: self.lost.contains_key(&push.from),
             stranger: !self.records.contains_key(&push.from),
+            wanted,
         }
     }
 
@@ -340,6 +376,9 @@
             return;
         }
         self.watch.echo(to, now);
+        let wanted = echo.wanted.iter().filter_map(|one| self.store.key_of_print(*one)).cloned();
+        self.offers.echo(to, echo.beat, wanted.collect());
+        self.heard_number = self.heard_number.max(echo.number);
         for (place, fact) in push.facts.iter().enumerate() {
             if echo.known & (1 << place) != 0 {
                 self.rumours.unneeded(&fact.key());
--- a/crates/fleet/src/gossip/message.rs
+++ b/crates/fleet/src/gossip/message.rs
@@ -20,6 +20,8 @@
     pub lost: bool,
     /// News.
     pub facts: Vec<FleetFact>,
+    /// The prints of what the sender learned a little while ago and the receiver should know by now.
+    pub offers: Vec<u64>,
 }
 
 /// The echo of a push.
@@ -35,6 +37,8 @@
     pub lost: bool,
     /// Whether the receiver does not know the sender.
     pub stranger: bool,
+    /// The offered prints that the receiver lacks.
+    pub wanted: Vec<u64>,
 }
 
 /// Asks a peer to compare digests.
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -181,6 +181,11 @@
         watched.proved.then_some(false)
     }
 
+    /// Tells whether a VM is watched.
+    pub fn is_watched(&self, member: &MemberName) -> bool {
+        self.watched.contains_key(member)
+    }
+
     /// Lists the watched VMs.
     pub fn watched(&self) -> impl Iterator<Item = &MemberName> {
         self.watched.keys()
--- a/crates/fleet/src/rumour.rs
+++ b/crates/fleet/src/rumour.rs
@@ -11,7 +11,7 @@
 use crate::fact::FactKey;
 
 /// After how many peers that knew a fact already it is told no more.
-pub const UNNEEDED_LIMIT: u32 = 3;
+pub const UNNEEDED_LIMIT: u32 = 1;
 
 /// How many times a fact is told at most for each doubling of the fleet, also without answers.
 const TELLINGS_PER_DOUBLING: u32 = 3;
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -49,6 +49,7 @@
 pub struct FactStore {
     held: BTreeMap<FactKey, HeldFact>,
     by_hash: HashMap<u64, FactKey>,
+    by_print: HashMap<u64, FactKey>,
     /// Expiries, soonest first: looking at each fact each time would cost a VM with 180,000 of them
     /// a tenth of a core.
     ends: BTreeSet<(Moment, FactKey)>,
@@ -74,8 +75,9 @@
         let key_hash = key.hash();
         let print = version.print(key_hash);
         let until = expiry(&fact, now);
+        self.forget_held(&key);
         self.by_hash.insert(key_hash, key.clone());
-        self.forget_end(&key);
+        self.by_print.insert(print, key.clone());
         if let Some(until) = until {
             self.ends.insert((until, key.clone()));
         }
@@ -83,8 +85,12 @@
         FactReception::News
     }
 
-    fn forget_end(&mut self, key: &FactKey) {
-        if let Some(until) = self.held.get(key).and_then(|held| held.until) {
+    /// Takes the fact of a key out of the indexes.
+    fn forget_held(&mut self, key: &FactKey) {
+        let Some(held) = self.held.get(key) else { return };
+        self.by_hash.remove(&held.key_hash);
+        self.by_print.remove(&held.print);
+        if let Some(until) = held.until {
             self.ends.remove(&(until, key.clone()));
         }
     }
@@ -135,9 +141,8 @@
 
     /// Drops a fact and remembers its version for a while.
     pub fn drop_fact(&mut self, key: &FactKey, now: Moment) {
-        self.forget_end(key);
+        self.forget_held(key);
         if let Some(held) = self.held.remove(key) {
-            self.by_hash.remove(&held.key_hash);
             self.dropped.insert(key.clone(), (held.version, now + DROPPED_KEPT));
         }
     }
@@ -183,6 +188,16 @@
         self.held.values().filter(chosen).map(|held| (held.key_hash, held.print)).collect()
     }
 
+    /// Returns the print of the fact of a key, which names its version as well.
+    pub fn print(&self, key: &FactKey) -> Option<u64> {
+        self.held.get(key).map(|held| held.print)
+    }
+
+    /// Returns the key of the fact with a print, if just that version is held.
+    pub fn key_of_print(&self, print: u64) -> Option<&FactKey> {
+        self.by_print.get(&print)
+    }
+
     /// Returns the key with a hash.
     pub fn key_of(&self, key_hash: u64) -> Option<&FactKey> {
         self.by_hash.get(&key_hash)
--- a/crates/fleet/tests/spread.rs
+++ b/crates/fleet/tests/spread.rs
@@ -6,7 +6,9 @@
 
 use std::time::Duration;
 
+use decide::floor::FloorGuard;
 use fleet::{
+    epoch::PlacerClaim,
     fact::{
         FactKey, FleetFact, MemberRecord, MemberVerdict, NoticeSubject, PlacerDuty, PlacerNotice,
         UpstreamFact,
@@ -259,6 +261,44 @@
     expect_that!(store.get(&key), none());
 }
 
+#[gtest]
+fn row_17_a_paused_placer_that_wakes_ejects_nobody() {
+    // A placer wakes from a minute's pause and spreads the ejection that it had decided on. Another
+    // has had the duty since, with a greater epoch.
+    let FleetFact::Notice(stale) = notice(3, 9, true) else { return };
+    let claim = PlacerClaim { epoch: PlacerEpoch(4), member: member("vm-1") };
+    expect_that!(stale.is_obeyed(Some(&claim)), eq(false));
+    expect_that!(stale.is_obeyed(None), eq(true));
+    let FleetFact::Notice(present) = notice(4, 1, true) else { return };
+    expect_that!(present.is_obeyed(Some(&claim)), eq(true));
+}
+
+#[gtest]
+fn row_13_a_return_that_overtakes_its_ejection_stands() {
+    // The floor is reached and an ejected upstream is taken back at once. The word of its ejection,
+    // by another way, comes after the word of its return.
+    let mut store = FactStore::default();
+    store.learn(notice(1, 2, false), at(0));
+    expect_that!(store.learn(notice(1, 1, true), at(1)), eq(FactReception::Old));
+}
+
+#[gtest]
+fn row_10_an_entry_applies_no_ejection_below_the_floor() {
+    // All upstreams of a service fail together, and a placer that is wrong ejects one after the
+    // other. The entry's own guard, fed by what is spread, keeps the floor of eight slots.
+    let mut guard = FloorGuard::new(8);
+    for number in 0..4 {
+        let name = format!("cluebook-{number}");
+        guard.announce(&announcement(&name, UpstreamState::Serving, 1), at(0));
+    }
+    let ejected = (0..4).filter(|number| {
+        let name = upstream(&format!("cluebook-{number}"));
+        guard.eject(&name, at(10_000), at(1))
+    });
+    expect_that!(ejected.count(), eq(2));
+    expect_that!(guard.healthy_slots(at(1)), ge(8));
+}
+
 fn any_fact() -> impl Strategy<Value = FleetFact> {
     let upstreams = (0..2_u8, 0..3_u64, any::<bool>(), any::<bool>(), 1..3_u64).prop_map(
         |(name, sequence, leaving, ended, life)| {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -210,7 +210,8 @@
             changes: vec![change],
         };
         until("the patch is accepted", || async {
-            matches!(self.nodes[0].submit(patch.clone()).await, Ok(Ok(_)))
+            let last = self.nodes.last().expect("a node runs");
+            matches!(last.submit(patch.clone()).await, Ok(Ok(_)))
         })
         .await;
         for node in &self.nodes {
--- a/crates/fleet/tests/support/values.rs
+++ b/crates/fleet/tests/support/values.rs
@@ -78,16 +78,17 @@
         }
     }
 
-    /// Lets one step pass: each VM looks at the time once, and its messages arrive.
+    /// Lets one step pass: each VM looks at the time once, then the messages arrive. So news goes
+    /// one VM further in each step.
     pub(crate) fn step(&mut self) {
         self.now = self.now + STEP;
-        for from in 0..self.nodes.len() {
-            if self.dead[from] {
-                continue;
-            }
-            for order in self.nodes[from].tick(self.now) {
-                self.carry(from, order);
-            }
+        let mut orders = Vec::new();
+        for from in (0..self.nodes.len()).filter(|&from| !self.dead[from]) {
+            let due = self.nodes[from].tick(self.now);
+            orders.extend(due.into_iter().map(|order| (from, order)));
+        }
+        for (from, order) in orders {
+            self.carry(from, order);
         }
     }
 
