fleet: one deaf direction on sockets, claims through any VM, no address that says nothing

Cause: the relay and the entry's own share held on paper only; a call on a dead link closed whatever link had replaced it meanwhile; a node that listened on 0.0.0.0 would have told the others that address.

Change: tests can cut the path from one node to another; a call's failure closes no link (a dead one is seen when it is next used); an unspecified address is refused at the start; places of idle links and lives of forgotten VMs go.

--- a/crates/fleet/src/driver.rs
+++ b/crates/fleet/src/driver.rs
@@ -46,7 +46,7 @@
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 use tokio::{
     net::TcpListener,
     runtime::Runtime,
@@ -68,6 +68,12 @@
         /// What the system said.
         source: io::Error,
     },
+    /// The address is no address of this VM that others could reach.
+    #[snafu(display("{address} tells other VMs nothing; name an address of this VM to listen on"))]
+    Unspecified {
+        /// The address.
+        address: SocketAddr,
+    },
     /// The thread or its runtime could not be started.
     #[snafu(display("cannot start the control thread: {source}"))]
     Thread {
@@ -136,6 +142,7 @@
     replicas: Option<ReplicaPart>,
 ) -> Result<(SharedState, DriverInbox), FleetError> {
     let address = settings.listen;
+    ensure!(!address.ip().is_unspecified(), UnspecifiedSnafu { address });
     let listener = std::net::TcpListener::bind(address).context(BindSnafu { address })?;
     listener.set_nonblocking(true).context(BindSnafu { address })?;
     let address = listener.local_addr().context(BindSnafu { address })?;
--- a/crates/fleet/src/driver/gossip.rs
+++ b/crates/fleet/src/driver/gossip.rs
@@ -144,7 +144,10 @@
                 FactKey::Upstream(service, upstream) => {
                     self.directory.forget(&service, &upstream);
                 }
-                FactKey::Member(member) => self.lose_entry(&member, now),
+                FactKey::Member(member) => {
+                    self.lives.remove(&member);
+                    self.lose_entry(&member, now);
+                }
                 FactKey::Verdict(..) | FactKey::Duty(..) | FactKey::Notice(_) => (),
             }
         }
--- a/crates/fleet/src/handle.rs
+++ b/crates/fleet/src/handle.rs
@@ -88,6 +88,12 @@
         self.shared.stop.cancel();
     }
 
+    /// Opens no connection to another node any more, while that one still reaches this: a path that
+    /// is deaf in one direction. For tests of partitions.
+    pub async fn cut_path_to(&self, address: SocketAddr) {
+        self.shared.links.cut(address).await;
+    }
+
     /// Returns how many ends of grants have not been taken by their placers yet.
     pub fn ends_waiting(&self) -> usize {
         self.slots.ends_waiting()
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -4,7 +4,7 @@
 //! is safe. A claim, a patch or a settlement is; an ask is not, since its grant may be on the way.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -100,13 +100,21 @@
     origin: Instant,
     places: Arc<Mutex<HashMap<SocketAddr, Arc<AsyncMutex<LinkPlace>>>>>,
     health: Arc<Mutex<LinkHealth>>,
+    /// Peers that are not to be reached from here, in tests of partitions.
+    cut: Arc<Mutex<HashSet<SocketAddr>>>,
 }
 
 impl PeerLinks {
     /// Makes links whose connections are driven by `runtime` and end with it.
     pub fn new(runtime: Handle, secret: SharedSecret) -> Self {
-        let (places, health) = (Arc::default(), Arc::default());
-        Self { runtime, secret: Arc::new(secret), origin: Instant::now(), places, health }
+        Self {
+            runtime,
+            secret: Arc::new(secret),
+            origin: Instant::now(),
+            places: Arc::default(),
+            health: Arc::default(),
+            cut: Arc::default(),
+        }
     }
 
     /// Calls a peer and waits at most `span` for its answer.
@@ -129,13 +137,13 @@
         let answer = call(client, within(span)).await;
         waiting.answered = answer.is_ok();
         drop(waiting);
-        if matches!(answer, Err(RpcError::Shutdown | RpcError::Send(_) | RpcError::Channel(_))) {
-            self.close(address).await;
-        }
         answer.map_err(|source| LinkError::Answer { address, source })
     }
 
     async fn to(&self, address: SocketAddr) -> Result<FleetPeerClient, LinkError> {
+        if self.cut.lock().unwrap_or_else(PoisonError::into_inner).contains(&address) {
+            return ConnectSnafu { address }.fail();
+        }
         let place = self.places().entry(address).or_default().clone();
         let mut place = place.lock().await;
         if let Some(open) = place.open.as_ref().filter(|open| !open.dispatch.is_finished()) {
@@ -170,6 +178,13 @@
         OpenLink { client: new.client, dispatch: dispatch.abort_handle() }
     }
 
+    /// Opens no connection to a peer any more, in tests of partitions. The peer still opens its own
+    /// to this VM: one direction is deaf.
+    pub(crate) async fn cut(&self, address: SocketAddr) {
+        self.cut.lock().unwrap_or_else(PoisonError::into_inner).insert(address);
+        self.close(address).await;
+    }
+
     /// Closes the connection to a peer, so that the next call opens a new one. Calls that wait on it
     /// end without an answer.
     pub async fn close(&self, address: SocketAddr) {
@@ -216,6 +231,7 @@
             LinkAdvice::Close => {
                 log::debug!(peer:% = address, reason = "idle"; "link closed");
                 self.close(address).await;
+                self.places().remove(&address);
             }
         }
     }
--- a/crates/fleet/tests/nodes.rs
+++ b/crates/fleet/tests/nodes.rs
@@ -10,9 +10,10 @@
     announcement::UpstreamState,
     call::{CallRefusal, OutcomeClass, RefusalReason},
     config::ServiceRule,
-    numbers::ConfigNumber,
+    ledger::{BodyDigest, CallKey, ClaimAnswer, KeyClaim, KeyClose, RunEnd},
+    numbers::{AttemptNumber, ConfigNumber},
     patch::ConfigChange,
-    ports::{AnnouncementPort, OperatorPort, SlotPort},
+    ports::{AnnouncementPort, LedgerPort, OperatorPort, SlotPort},
     secret::SharedSecret,
 };
 use support::{Nodes, announcement, ask, service, settings, settle, until, upstream};
@@ -155,6 +156,101 @@
     until("it is free again", || async { busy(&entry).await == 0 }).await;
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_16_an_entry_that_does_not_reach_its_placer_asks_through_a_relay() {
+    // One entry cannot open a connection to the placer, which reaches it and is heard by all others.
+    // The placer keeps its duty, and the entry obeys that same placer: its ask and the end of its
+    // grant go by one more VM.
+    let nodes = Nodes::spawn(4).await;
+    serve_one_upstream(&nodes).await;
+    let placer = nodes.placer().await;
+    let entry = &nodes.nodes[(placer + 1) % 4];
+    entry.cut_path_to(nodes.nodes[placer].address()).await;
+    for call in 1..20 {
+        let granted = entry.ask(ask(call, 5_000)).await.expect("a relay reaches the placer");
+        expect_that!(&granted.id.granter, eq(nodes.nodes[placer].member()));
+        entry.settle(settle(&granted, OutcomeClass::Success));
+    }
+    until("all slots are free", || async { busy(&nodes.nodes[placer]).await == 0 }).await;
+    expect_that!(nodes.placer().await, eq(placer));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_16_an_entry_alone_places_by_its_own_share_and_ejects_nobody() {
+    // The entry reaches neither the placer nor a relay. It goes on with its own share of the slots,
+    // and its outcomes eject nobody; each refusal is final at once and says when to come back.
+    let nodes = Nodes::spawn(2).await;
+    serve_one_upstream(&nodes).await;
+    let placer = nodes.placer().await;
+    let entry = &nodes.nodes[(placer + 1) % 2];
+    entry.cut_path_to(nodes.nodes[placer].address()).await;
+    let mut held = Vec::new();
+    let mut refused = None;
+    for call in 1..=4 {
+        match entry.ask(ask(call, 5_000)).await {
+            Ok(granted) => held.push(granted),
+            Err(refusal) => refused = Some(refusal),
+        }
+    }
+    expect_that!(held.len(), all![ge(1), le(3)]);
+    expect_that!(refused.is_some_and(|refusal| refusal.retry_after_ms > 0), eq(true));
+    for granted in &held {
+        entry.settle(settle(granted, OutcomeClass::Timeout));
+    }
+    until("there is room again", || async { entry.ask(ask(9, 5_000)).await.is_ok() }).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_2_a_claim_through_any_vm_reaches_the_leader_and_is_one_claim() {
+    // A VM without replicas claims, loses the answer and claims again through another: one claim,
+    // the same attempt. Its close is durable for both.
+    let nodes = Nodes::spawn(3).await;
+    nodes.configure().await;
+    let key = CallKey::from_parts(now_millis(), [7; 10]);
+    let claim = KeyClaim {
+        key,
+        service: service("cluebook"),
+        digest: BodyDigest([1; 32]),
+        claimant: 11,
+        within_ms: 5_000,
+    };
+    let first = nodes.nodes[1].claim(claim.clone()).await;
+    let again = nodes.nodes[2].claim(claim.clone()).await;
+    expect_that!(first, ok(eq(&ClaimAnswer::Run { attempt: AttemptNumber(1) })));
+    expect_that!(again, eq(&first));
+    let end = RunEnd::Done { answer: None };
+    let close = KeyClose { key, attempt: AttemptNumber(1), end };
+    expect_that!(nodes.nodes[2].close(close).await, ok(anything()));
+    let resent = nodes.nodes[1].claim(KeyClaim { claimant: 12, ..claim }).await;
+    expect_that!(resent, ok(eq(&ClaimAnswer::Done { answer: None })));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_5_a_claim_without_a_leader_is_refused_within_its_time() {
+    let nodes = Nodes::spawn(2).await;
+    nodes.configure().await;
+    nodes.nodes[0].kill();
+    let claim = KeyClaim {
+        key: CallKey::from_parts(now_millis(), [8; 10]),
+        service: service("cluebook"),
+        digest: BodyDigest([1; 32]),
+        claimant: 11,
+        within_ms: 400,
+    };
+    let started = std::time::Instant::now();
+    expect_that!(nodes.nodes[1].claim(claim).await.is_err(), eq(true));
+    expect_that!(started.elapsed(), lt(Duration::from_secs(3)));
+}
+
+fn now_millis() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    u64::try_from(now.expect("after 1970").as_millis()).expect("before the year 500 million")
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_lost_placer_is_replaced_and_calls_go_on_meanwhile() {
