--- a/crates/fleet/tests/nodes.rs
+++ b/crates/fleet/tests/nodes.rs
@@ -11,8 +11,8 @@
     call::{CallRefusal, OutcomeClass, RefusalReason},
     config::ServiceRule,
     ledger::{BodyDigest, CallKey, ClaimAnswer, KeyClaim, KeyClose, RunEnd},
-    numbers::{AttemptNumber, ConfigNumber},
-    patch::ConfigChange,
+    numbers::{AttemptNumber, ConfigNumber, GroupNumber},
+    patch::{ConfigChange, ConfigPatch, PatchId},
     ports::{AnnouncementPort, LedgerPort, OperatorPort, SlotPort},
     secret::SharedSecret,
 };
@@ -246,6 +246,45 @@
     expect_that!(started.elapsed(), lt(Duration::from_secs(3)));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_follow_the_leader_when_it_is_lost() {
+    // Three replicas talk through the fleet. The leader dies; a VM without a replica goes on
+    // submitting, and its patch is accepted by the next leader and in force on all that live.
+    let nodes = Nodes::spawn_with(4, 3).await;
+    nodes.configure().await;
+    let leader = leader_of(&nodes.nodes[..3]).await;
+    nodes.nodes[leader].kill();
+    let rule = ServiceRule { floor_slots: 3, ..ServiceRule::default() };
+    let patch = ConfigPatch {
+        id: PatchId(uuid::Uuid::now_v7()),
+        base: ConfigNumber(1),
+        author: "test".to_owned(),
+        changes: vec![ConfigChange::PutService { name: service("cluebook"), rule }],
+    };
+    until("the next leader accepts it", || async {
+        matches!(nodes.nodes[3].submit(patch.clone()).await, Ok(Ok(ConfigNumber(2))))
+    })
+    .await;
+    for (_, node) in nodes.nodes.iter().enumerate().filter(|(number, _)| *number != leader) {
+        until("it is in force", || async { node.config().number() == ConfigNumber(2) }).await;
+    }
+    let other = (0..3).find(|&number| number != leader).expect("two are left");
+    expect_that!(leader_of(&nodes.nodes[other..=other]).await, not(eq(leader)));
+}
+
+/// Returns the number of the VM that leads the configuration's group, as some VM sees it.
+async fn leader_of(nodes: &[FleetNode]) -> usize {
+    for node in nodes {
+        let report = node.status().await;
+        let row = report.groups.iter().find(|row| row.group == GroupNumber::CONFIG);
+        if let Some(leader) = row.and_then(|row| row.leader.clone()) {
+            return leader.as_str().trim_start_matches("vm-").parse().expect("a number");
+        }
+    }
+    panic!("no VM knows a leader");
+}
+
 fn now_millis() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     u64::try_from(now.expect("after 1970").as_millis()).expect("before the year 500 million")
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -137,7 +137,7 @@
     }
 }
 
-/// Some running nodes on loopback. The first holds the replicas.
+/// Some running nodes on loopback.
 pub(crate) struct Nodes {
     pub(crate) nodes: Vec<FleetNode>,
     folder: std::path::PathBuf,
@@ -161,25 +161,31 @@
     }
 }
 
-fn replicas(name: &str, folder: &std::path::Path) -> ReplicaPart {
+fn replicas(number: usize, founders: usize, folder: &std::path::Path) -> ReplicaPart {
+    let name = |number: usize| member(&format!("vm-{number}"));
     let settings = ReplicaSettings {
-        member: member(name),
-        folder: folder.to_owned(),
-        founders: vec![member(name)],
-        seed: 1,
+        member: name(number),
+        folder: folder.join(number.to_string()),
+        founders: (0..founders).map(name).collect(),
+        seed: number as u64,
     };
     ControlHandle::open(settings).expect("the folder is new")
 }
 
 impl Nodes {
-    /// Starts nodes and waits until each sees all of them.
+    /// Starts nodes, the first with the replicas, and waits until each sees all of them.
     pub(crate) async fn spawn(count: usize) -> Self {
+        Self::spawn_with(count, 1).await
+    }
+
+    /// Starts nodes, the first `founders` with replicas, and waits until each sees all of them.
+    pub(crate) async fn spawn_with(count: usize, founders: usize) -> Self {
         let folder = std::env::temp_dir().join(format!("fleet-{}", uuid::Uuid::new_v4()));
         let mut nodes: Vec<FleetNode> = Vec::new();
         for number in 0..count {
             let name = format!("vm-{number}");
             let seeds = nodes.first().map(FleetNode::address).into_iter().collect();
-            let part = (number == 0).then(|| replicas(&name, &folder));
+            let part = (number < founders).then(|| replicas(number, founders, &folder));
             let node = FleetNode::spawn(settings(&name, seeds), part).expect("a free port");
             nodes.push(node);
         }
