--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -108,6 +108,12 @@
                 /// The group; 0 is the configuration.
                 required group: u32
             }
+            /// Looks into a data folder of this machine and changes nothing, also while its daemon
+            /// runs or cannot start.
+            cmd control-inspect inspect {
+                /// The folder.
+                required folder: PathBuf
+            }
         }
         /// Prints the version.
         cmd version {}
--- a/crates/ctl/src/fault.rs
+++ b/crates/ctl/src/fault.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, path::PathBuf};
 
+use control::fault::ControlError;
 use model::{names::NameError, numbers::ConfigNumber, patch::ConfigChange, secret::SecretError};
 use operator::answers::ErrorCode;
 use snafu::Snafu;
@@ -184,6 +185,12 @@
         /// What was found.
         reason: String,
     },
+    /// A data folder could not be looked into.
+    #[snafu(display("{source}"))]
+    Inspect {
+        /// Why.
+        source: ControlError,
+    },
     /// The system refused.
     #[snafu(display("cannot {doing}: {source}"))]
     System {
@@ -204,7 +211,9 @@
             | Self::Name { .. }
             | Self::Secret { .. }
             | Self::PatchFile { .. } => EXIT_USAGE,
-            Self::Read { .. } | Self::Keep { .. } | Self::System { .. } => EXIT_SYSTEM,
+            Self::Read { .. } | Self::Keep { .. } | Self::Inspect { .. } | Self::System { .. } => {
+                EXIT_SYSTEM
+            }
             Self::Unreached { .. } | Self::PatchUnknown { .. } => EXIT_UNREACHED,
             Self::Refused { .. } | Self::Answer { .. } => EXIT_REFUSED,
             Self::Stale { .. } => EXIT_STALE,
--- a/crates/ctl/src/render.rs
+++ b/crates/ctl/src/render.rs
@@ -4,6 +4,7 @@
 
 use crate::fault::{CtlError, SystemSnafu};
 use comfy_table::{Table, presets};
+use control::disk::inspect::GroupReport;
 use model::{
     config::{ConfigImage, ServiceRule},
     names::{RouteName, ServiceName},
@@ -302,3 +303,25 @@
     });
     table(["NUMBER", "AUTHOR", "PATCH", "CHANGES"], cells)
 }
+
+pub(crate) fn folder(reports: &[GroupReport]) -> String {
+    let header = ["GROUP", "TERM", "NUMBER", "DIGEST", "COMMITTED", "LAST", "SNAPSHOT", "TORN AT"];
+    let optional = |value: Option<u64>| value.map_or_else(|| "-".to_owned(), |v| v.to_string());
+    let cells = reports.iter().map(|report| {
+        [
+            report.group.to_string(),
+            report.term.to_string(),
+            report.number.to_string(),
+            format!("{:016x}", report.digest),
+            report.committed.to_string(),
+            report.last_index.to_string(),
+            optional(report.snapshot),
+            optional(report.torn_at),
+        ]
+    });
+    let damage = reports.iter().filter_map(|report| {
+        let damage = report.damage.as_ref()?;
+        Some(format!("group {} is damaged: {damage}\n", report.group))
+    });
+    table(header, cells) + &damage.collect::<String>()
+}
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -8,7 +8,7 @@
         ControlReplace, PatchCmd, ServiceCmd,
     },
     client::OperatorClient,
-    fault::{CtlError, NameSnafu, NothingToChangeSnafu},
+    fault::{CtlError, InspectSnafu, NameSnafu, NothingToChangeSnafu},
     patch,
     render::{self, Printer},
     settings::CtlSettings,
@@ -46,6 +46,12 @@
         let version = concat!("coltsfootcrank ", env!("CARGO_PKG_VERSION"));
         return printer.show(&version, |version| format!("{version}\n"));
     }
+    if let ColtsfootcrankCmd::Control(control) = &args.subcommand
+        && let ControlCmd::ControlInspect(inspect) = &control.subcommand
+    {
+        let reports = control::disk::inspect::inspect(&inspect.folder).context(InspectSnafu)?;
+        return printer.show(&reports, |reports| render::folder(reports));
+    }
     let client = OperatorClient::new(CtlSettings::from_args(&args, &variable)?);
     Session { client, printer }.run(args.subcommand, variable("USER")).await
 }
@@ -162,6 +168,7 @@
             ControlCmd::ControlStatus(_) => {
                 self.page("/control", |rows: &Vec<GroupRow>| render::groups(rows)).await
             }
+            ControlCmd::ControlInspect(_) => Ok(()),
             ControlCmd::ControlReplace(replace) => self.replace(&replace).await,
             ControlCmd::ControlSnapshot(snapshot) => {
                 let path = format!("/control/{}/snapshot", snapshot.group);
--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -1,14 +1,27 @@
 //! The command line as a library against the operators' interface in the same process.
 
-use std::{collections::HashMap, fs, net::SocketAddr, path::PathBuf, sync::Arc};
+use std::{
+    collections::HashMap,
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use control::{handle::ControlHandle, settings::ReplicaSettings};
 use ctl::{
     args::Coltsfootcrank,
     fault::{CtlError, EXIT_REFUSED, EXIT_STALE, EXIT_SYSTEM, EXIT_UNREACHED, EXIT_USAGE},
     run::run,
 };
 use googletest::prelude::*;
-use model::{numbers::ConfigNumber, numbers::GroupNumber, ports::ControlFault};
+use model::{
+    config::ControlSettings,
+    numbers::{ConfigNumber, GroupNumber},
+    patch::{ConfigChange, ConfigPatch, PatchId},
+    ports::ControlFault,
+};
 use operator::server::OperatorServer;
 use serde_json::{Value, json};
 use support::{FakePort, SECRET, serve};
@@ -288,3 +301,38 @@
     let snapshot = desk.json(&["control", "snapshot", "2"]).await;
     expect_that!(snapshot["index"], eq(&json!(42)));
 }
+
+#[gtest]
+#[tokio::test]
+async fn inspect_reads_a_data_folder_without_any_vm() {
+    let desk = Desk::open().await;
+    let folder = desk.folder.join("data");
+    let member: model::names::MemberName = "vm-1".parse().unwrap();
+    let (control, _packets) = ControlHandle::open(ReplicaSettings {
+        member: member.clone(),
+        folder: folder.clone(),
+        founders: vec![member],
+        seed: 1,
+    })
+    .unwrap();
+    let change = ConfigChange::PutSettings { settings: ControlSettings::default() };
+    let id = PatchId(Uuid::now_v7());
+    let patch =
+        ConfigPatch { id, base: ConfigNumber(0), author: "a".to_owned(), changes: vec![change] };
+    let deadline = Instant::now() + Duration::from_secs(20);
+    while !matches!(control.submit(patch.clone(), Duration::from_secs(1)).await, Ok(Ok(_))) {
+        assert!(Instant::now() < deadline, "no leader in time");
+    }
+    let args = ["--json", "control", "inspect", folder.to_str().unwrap()];
+    let args = Coltsfootcrank::from_vec(args.map(Into::into).into()).unwrap();
+    let mut out = Vec::new();
+    run(args, |_| None, &mut out).await.unwrap();
+    let reports: Value = serde_json::from_slice(&out).unwrap();
+    expect_that!(reports[0]["group"], eq(&json!(0)));
+    expect_that!(reports[0]["last-index"].as_u64(), some(ge(1)));
+    expect_that!(reports[0]["damage"], eq(&Value::Null));
+    let text = desk.run(&["control", "inspect", folder.to_str().unwrap()]).await.unwrap();
+    expect_that!(text, contains_substring("GROUP"));
+    let nowhere = desk.run(&["control", "inspect", "/nowhere/at/all"]).await;
+    expect_that!(code(nowhere), eq(EXIT_SYSTEM));
+}
--- a/crates/platform/tests/pages.rs
+++ b/crates/platform/tests/pages.rs
@@ -94,10 +94,10 @@
 async fn the_metrics_page_shows_what_was_counted_and_what_the_fleet_knows() {
     let pages = open().await;
     let tally = pages.metrics.tally();
-    tally.service(&cluebook()).count_try(OutcomeClass::Success);
-    tally.service(&cluebook()).count_try(OutcomeClass::Success);
-    tally.service(&cluebook()).count_try(OutcomeClass::CutAnswer);
-    tally.service(&cluebook()).count_refusal(RefusalReason::Saturated);
+    tally.count(&cluebook(), |counts| counts.count_try(OutcomeClass::Success));
+    tally.count(&cluebook(), |counts| counts.count_try(OutcomeClass::Success));
+    tally.count(&cluebook(), |counts| counts.count_try(OutcomeClass::CutAnswer));
+    tally.count(&cluebook(), |counts| counts.count_refusal(RefusalReason::Saturated));
     tally.count_claim(Some(&ClaimAnswer::Run { attempt: AttemptNumber(1) }));
     tally.count_claim(None);
     pages.metrics.count_grant(&cluebook(), Duration::from_millis(3), 2_000);
@@ -193,7 +193,8 @@
         outcome: OutcomeClass::Timeout,
         took_us: 5,
     });
-    let tally = metrics.tally().service(&cluebook());
+    let services = metrics.tally().services();
+    let tally = &services[&cluebook()];
     expect_that!(tally.tries()[OutcomeClass::Timeout as usize], eq(1));
     expect_that!(tally.refusals()[RefusalReason::NoUpstream as usize], eq(1));
 }
