--- a/crates/caller/tests/answers.rs
+++ b/crates/caller/tests/answers.rs
@@ -2,7 +2,10 @@
 
 mod support;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use caller::limits::CallLimits;
@@ -210,6 +213,49 @@
     expect_that!(vm.pool.tally(upstream).in_use, eq(0));
 }
 
+// A caller goes away while its call waits for a slot. The ask is dropped, so that the placer can give
+// its place to another.
+#[gtest]
+#[tokio::test]
+async fn a_caller_that_goes_away_leaves_the_queue() {
+    let upstream = spawn_standin(0, Duration::ZERO).await;
+    let vm = TestVm::before(&[upstream.address()]).await;
+    vm.slots.held.store(true, Ordering::SeqCst);
+    let mut stream = TcpStream::connect(vm.address()).await.unwrap();
+    stream.write_all(b"GET /read HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+    wait_until("the call waits", || vm.slots.waiting.load(Ordering::SeqCst) == 1).await;
+
+    drop(stream);
+
+    wait_until("the ask is dropped", || vm.slots.waiting.load(Ordering::SeqCst) == 0).await;
+    expect_that!(upstream.ran(), eq(0));
+}
+
+// A caller opens HTTP/2 streams and resets each at once, hundreds of times. Each exchange that began
+// is ended and its slot is free; the VM serves others as before.
+#[gtest]
+#[tokio::test]
+async fn row_27_http2_streams_reset_at_once_leak_nothing() {
+    let upstream = spawn_standin(0, LONG).await;
+    let vm = TestVm::before(&[upstream.address()]).await;
+    let mut sender = http2(&vm).await;
+    for _ in 0..300 {
+        if sender.ready().await.is_err() {
+            // The VM may end a connection that does this.
+            sender = http2(&vm).await;
+        }
+        let mut sending = Box::pin(sender.send_request(get("/read")));
+        let _ = futures::poll!(&mut sending);
+        tokio::task::yield_now().await;
+    }
+    drop(sender);
+
+    wait_until("each slot is free", || vm.slots.busy() == 0).await;
+    let quick = spawn_standin(1, Duration::ZERO).await;
+    *vm.slots.targets.lock().unwrap() = vec![quick.address()];
+    expect_that!(vm.get("/read").await.status.as_u16(), eq(200));
+}
+
 // A caller breaks off in the middle of sending its request. Nothing reaches an upstream.
 #[gtest]
 #[tokio::test]
@@ -240,7 +286,7 @@
         async move {
             let chunk = Bytes::from(vec![7; MEGABYTE]);
             let frames = stream::iter((0..50).map(move |_| {
-                counted.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+                counted.fetch_add(1, Ordering::SeqCst);
                 Ok(Frame::data(chunk.clone()))
             }));
             Response::new(StreamBody::new(frames).boxed_unsync())
@@ -257,7 +303,7 @@
     let mut before = 0;
     loop {
         tokio::time::sleep(Duration::from_millis(300)).await;
-        let now = sent.load(std::sync::atomic::Ordering::SeqCst);
+        let now = sent.load(Ordering::SeqCst);
         if now == before {
             break;
         }
--- a/crates/caller/tests/support/slots.rs
+++ b/crates/caller/tests/support/slots.rs
@@ -27,6 +27,8 @@
     /// Holds each ask back for good.
     pub held: AtomicBool,
     pub released: Notify,
+    /// Asks that wait, and that nobody has dropped.
+    pub waiting: AtomicU64,
     /// Revokes each grant before it begins.
     pub revoked: AtomicBool,
     pub asks: Mutex<Vec<SlotAsk>>,
@@ -62,6 +64,14 @@
     }
 }
 
+struct WaitingGuard<'a>(&'a AtomicU64);
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 fn name_of(number: usize) -> String {
     format!("hunt-{number}")
 }
@@ -69,6 +79,8 @@
 impl SlotPort for FakeSlots {
     async fn ask(&self, ask: SlotAsk) -> Result<SlotGrant, CallRefusal> {
         self.asks.lock().unwrap().push(ask.clone());
+        self.waiting.fetch_add(1, Ordering::SeqCst);
+        let _waiting = WaitingGuard(&self.waiting);
         if self.held.load(Ordering::SeqCst) {
             self.released.notified().await;
         }
