--- a/crates/caller/tests/support/mod.rs
+++ b/crates/caller/tests/support/mod.rs
@@ -70,6 +70,18 @@
         Self::spawn(FakeSlots::over(upstreams), Arc::default()).await
     }
 
+    /// An entry before these upstreams that has saved up a few second tries.
+    pub async fn with_budget(upstreams: &[&UpstreamStandin]) -> Self {
+        let quiet = spawn_standin(9, Duration::ZERO).await;
+        let vm = Self::before(&[quiet.address()]).await;
+        for _ in 0..40 {
+            vm.get("/read").await;
+        }
+        vm.slots.settles.lock().unwrap().clear();
+        *vm.slots.targets.lock().unwrap() = upstreams.iter().map(|one| one.address()).collect();
+        vm
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
