upstream: silent connections found also where traffic is busy, and no hang excused for long

Cause: only connections idle for a second were doubted. Change: each used connection may be doubted at half of the time left; the upstream is excused only when a new connection works, no used one has answered meanwhile, and no such finding was made in the last 30 s. A keyed call is judged at its deadline by real work alone. Tests: row_22_a_hung_upstream_is_charged said that the upstream hangs on all connections but used a stand-in that answers probes, which is now excused once; replaced by an upstream that answers nothing at all, with the same three timeouts expected. The stand-in's case is row_22_an_upstream_that_only_answers_probes_is_charged, now with one more hang that must be charged. New: a hang beside living connections; a keyed call on a silent connection.

--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -6,10 +6,11 @@
 //! Failure: something between the two ends loses track of open connections, and they go silent for
 //! good while new ones work. Symptom: each call that is put on one waits in vain, and the upstream,
 //! which is well, looks hung. Safeguards: a connection counts as proved for a second after its last
-//! answer ([`PoolSettings::proof_age`]); a call that must not run twice goes only on a proved or a new one; once an exchange
-//! on an unproved connection is silent for too long, each idle connection that has not answered
-//! since that exchange began is closed. Closing too many costs a millisecond for each, so doubt is
-//! enough and no proof is needed.
+//! answer ([`PoolSettings::proof_age`]), and a call that must not run twice goes only on a proved or a
+//! new one; once an exchange on a used connection is silent for too long, each idle connection that
+//! has not answered since it began is closed. Closing too many costs a millisecond for each, so doubt
+//! is enough for that. Excusing the upstream takes proof: no used connection answered meanwhile, and
+//! a new one did.
 
 use std::{
     collections::HashMap,
@@ -34,6 +35,13 @@
 /// The body of a request as it goes to an upstream.
 pub type RequestBody = UnsyncBoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
 
+/// For how long after silent connections were found a newer one is not held to be silent as well.
+///
+/// Failure: an upstream hangs on some of its work and answers probes. Symptom: each hang passes for a
+/// silent connection and the upstream is never charged. Connections are lost track of together and
+/// seldom, so one such finding in this time excuses the upstream once, and the next hang is charged.
+const EPISODE_GAP: Duration = Duration::from_secs(30);
+
 /// How many probes may run at once: one costs an upstream about 25 ms of its time.
 const PROBES_LIMIT: usize = 4;
 
@@ -72,6 +80,7 @@
 
 struct IdleConnection {
     sender: SendRequest<RequestBody>,
+    opened: Instant,
     proved: Instant,
 }
 
@@ -81,8 +90,18 @@
     /// The most recently proved last.
     idle: Vec<IdleConnection>,
     in_use: usize,
-    /// When a new connection last answered.
+    /// When a new connection last answered, and one that was used before.
     new_works: Option<Instant>,
+    reused_works: Option<Instant>,
+    /// When connections were last found to be silent.
+    found_silent: Option<Instant>,
+}
+
+impl TargetState {
+    /// Tells whether a connection opened then may be one of many that went silent.
+    fn may_be_silent(&self, opened: Instant) -> bool {
+        self.found_silent.is_none_or(|found| opened <= found || found.elapsed() >= EPISODE_GAP)
+    }
 }
 
 struct PoolState {
@@ -117,6 +136,7 @@
     pool: ConnectionPool,
     address: SocketAddr,
     sender: Option<SendRequest<RequestBody>>,
+    opened: Instant,
     /// How long ago it last answered when it was taken out. `None`: it is new.
     pub(crate) unproved_for: Option<Duration>,
 }
@@ -126,14 +146,23 @@
         self.sender.as_mut().expect("only giving it back takes it")
     }
 
-    /// Tells whether it may have been lost track of since its last answer.
-    pub(crate) fn is_doubtful(&self) -> bool {
+    /// Tells whether it may be one of many that went silent.
+    pub(crate) fn may_be_silent(&self) -> bool {
+        let state = self.pool.lock();
+        let target = state.targets.get(&self.address);
+        let possible = target.is_none_or(|target| target.may_be_silent(self.opened));
+        self.unproved_for.is_some() && possible
+    }
+
+    /// Tells whether its upstream may have closed it for having been idle.
+    pub(crate) fn is_unproved(&self) -> bool {
         self.unproved_for.is_some_and(|age| age >= self.pool.shared.settings.proof_age)
     }
 
     pub(crate) fn give_back(mut self) {
         let Some(sender) = self.sender.take() else { return };
-        self.pool.keep(self.address, IdleConnection { sender, proved: Instant::now() });
+        let idle = IdleConnection { sender, opened: self.opened, proved: Instant::now() };
+        self.pool.keep(self.address, idle);
     }
 }
 
@@ -148,7 +177,7 @@
 
 /// What the pool has for an exchange.
 enum PoolPlace {
-    Reused(SendRequest<RequestBody>, Duration),
+    Reused(IdleConnection),
     New,
     Full,
 }
@@ -191,13 +220,19 @@
         share: u32,
         oldest: Duration,
     ) -> Result<PooledConnection, ExchangeFault> {
-        let (sender, unproved_for) = match self.take(address, share, oldest) {
-            PoolPlace::Reused(sender, age) => (Some(sender), Some(age)),
-            PoolPlace::New => (None, None),
+        let idle = match self.take(address, share, oldest) {
+            PoolPlace::Reused(idle) => Some(idle),
+            PoolPlace::New => None,
             PoolPlace::Full => return Err(ExchangeFault::unsent(OutcomeClass::Unused)),
         };
         // Made before the connection is opened, so that a caller who goes meanwhile frees its place.
-        let mut connection = PooledConnection { pool: self.clone(), address, sender, unproved_for };
+        let mut connection = PooledConnection {
+            pool: self.clone(),
+            address,
+            opened: idle.as_ref().map_or_else(Instant::now, |idle| idle.opened),
+            unproved_for: idle.as_ref().map(|idle| idle.proved.elapsed()),
+            sender: idle.map(|idle| idle.sender),
+        };
         if connection.sender.is_none() {
             let opened = self.open(address).await;
             let failed = ExchangeFault::unsent(OutcomeClass::ConnectFailure);
@@ -213,7 +248,7 @@
         target.idle.retain(|one| !one.sender.is_closed() && one.proved.elapsed() < kept);
         if let Some(last) = target.idle.pop_if(|one| one.proved.elapsed() < oldest) {
             target.in_use += 1;
-            return PoolPlace::Reused(last.sender, last.proved.elapsed());
+            return PoolPlace::Reused(last);
         }
         // An upstream that accepts few connections would refuse one beyond its limit, perhaps one
         // of another entry. A share of 0 still allows one: the slot was granted for a purpose.
@@ -248,22 +283,36 @@
         }
     }
 
-    /// Records that a new connection answered.
-    pub(crate) fn note_new_works(&self, address: SocketAddr) {
+    /// Records that a connection answered.
+    pub(crate) fn note_works(&self, address: SocketAddr, reused: bool) {
         let mut state = self.lock();
-        state.targets.entry(address).or_default().new_works = Some(Instant::now());
+        let target = state.targets.entry(address).or_default();
+        let works = if reused { &mut target.reused_works } else { &mut target.new_works };
+        *works = Some(Instant::now());
+    }
+
+    /// Records that connections were found to be silent.
+    pub(crate) fn note_silent(&self, address: SocketAddr) {
+        self.lock().targets.entry(address).or_default().found_silent = Some(Instant::now());
+    }
+
+    /// Tells what answered since then: a connection that was used before, and a new one.
+    pub(crate) fn works_since(&self, address: SocketAddr, since: Instant) -> (bool, bool) {
+        let state = self.lock();
+        let Some(target) = state.targets.get(&address) else { return (false, false) };
+        let after = |works: Option<Instant>| works.is_some_and(|at| at > since);
+        (after(target.reused_works), after(target.new_works))
     }
 
     /// Tells whether a new connection answers, by real work since `since` or else by a probe.
     pub(crate) async fn new_connection_works(&self, address: SocketAddr, since: Instant) -> bool {
         let Ok(_permit) = self.shared.probes.acquire().await else { return false };
-        let known = self.lock().targets.get(&address).and_then(|target| target.new_works);
-        if known.is_some_and(|at| at > since) {
+        if self.works_since(address, since).1 {
             return true;
         }
         let works = self.probe(address).await;
         if works {
-            self.note_new_works(address);
+            self.note_works(address, false);
         }
         works
     }
@@ -303,7 +352,8 @@
         let oldest = self.oldest_kept(settings);
         self.targets.retain(|_, target| {
             target.idle.retain(|one| !one.sender.is_closed() && one.proved > oldest);
-            target.in_use > 0 || !target.idle.is_empty()
+            let remembered = target.found_silent.is_some_and(|at| at.elapsed() < EPISODE_GAP);
+            target.in_use > 0 || !target.idle.is_empty() || remembered
         });
     }
 
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -11,19 +11,19 @@
     call::{CallClass, OutcomeClass, UPSTREAM_STATE_HEADER},
     slot::SlotGrant,
 };
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     exchange::{AnswerBody, ExchangeFault},
     pool::{ConnectionPool, PooledConnection, RequestBody},
 };
 
-/// For which share of the time left an unproved connection may be silent before it is doubted. Half:
+/// For which share of the time left a used connection may be silent before it is doubted. Half:
 /// the rest is enough for the second try, and no normal answer takes that long. Shorter, and a slow
 /// upstream would pass for a silent connection and never be charged for its slowness.
 const SILENCE_DIVISOR: u32 = 2;
 
-/// How long an unproved connection must have been silent for its neighbours to be doubted when its
+/// How long a used connection must have been silent for its neighbours to be doubted when its
 /// exchange is given up, as the loser of a hedge is.
 const ABANDONED_SILENCE: Duration = Duration::from_millis(100);
 
@@ -60,7 +60,7 @@
         loop {
             let connection = self.check_out(grant.address, grant.connections, oldest).await?;
             let new = connection.unproved_for.is_none();
-            match self.send_on(connection, grant.address, request, until).await {
+            match self.send_on(connection, grant.address, class, request, until).await {
                 Ok(response) => return accept(response).await,
                 Err(SendFault::Failed(fault)) => return Err(fault),
                 // Each round takes an idle connection away, so there is an end to it.
@@ -76,31 +76,38 @@
         &self,
         mut connection: PooledConnection,
         address: SocketAddr,
+        class: CallClass,
         request: Request<RequestBody>,
         until: Instant,
     ) -> Result<Response<AnswerBody>, SendFault> {
         if !is_free(&mut connection).await {
             return Err(SendFault::Unsent(Box::new(request)));
         }
-        let doubtful = connection.is_doubtful();
-        let mut doubt = SilenceGuard { pool: self, address, sent: Instant::now(), armed: doubtful };
+        let (reused, unproved) = (connection.unproved_for.is_some(), connection.is_unproved());
+        let sent = Instant::now();
+        let mut doubt = SilenceGuard { pool: self, address, sent, armed: reused };
+        let may_be_silent = connection.may_be_silent();
         let sending = connection.sender().try_send_request(request);
-        let head = if doubtful {
+        let head = if may_be_silent && class.is_idempotent() {
             self.doubtful_head(sending, address, until).await
         } else {
-            let left = until.saturating_duration_since(Instant::now());
-            timeout(left, sending).await.map_err(|_| OutcomeClass::Timeout)
+            timeout_at(until, sending).await.map_err(|_| OutcomeClass::Timeout)
         };
         doubt.armed = false;
         match head {
             Ok(Ok(response)) => {
-                if connection.unproved_for.is_none() {
-                    self.note_new_works(address);
-                }
+                self.note_works(address, reused);
                 let at_end = judge(response.status(), response.headers());
                 Ok(response.map(|body| AnswerBody::new(body, connection, at_end)))
             }
-            Ok(Err(error)) => Err(self.classify(error, address, doubtful).await),
+            Ok(Err(error)) => Err(self.classify(error, address, unproved).await),
+            // A call that must not run twice has waited to its end, with nothing but real work to
+            // tell whose fault it was.
+            Err(_) if may_be_silent && self.works_since(address, sent) == (false, true) => {
+                self.note_silent(address);
+                let outcome = OutcomeClass::StaleConnection;
+                Err(SendFault::Failed(ExchangeFault { outcome, sent: true }))
+            }
             Err(outcome) => Err(SendFault::Failed(ExchangeFault { outcome, sent: true })),
         }
     }
@@ -120,7 +127,8 @@
         }
         self.retire(address, sent);
         let works = async {
-            if !self.new_connection_works(address, sent).await {
+            let (reused_work, _) = self.works_since(address, sent);
+            if reused_work || !self.new_connection_works(address, sent).await {
                 // Not the connection's fault, then: the upstream has the rest of the time.
                 std::future::pending::<()>().await;
             }
@@ -137,7 +145,7 @@
         &self,
         mut error: TrySendError<Request<RequestBody>>,
         address: SocketAddr,
-        doubtful: bool,
+        unproved: bool,
     ) -> SendFault {
         if let Some(request) = error.take_message() {
             return SendFault::Unsent(Box::new(request));
@@ -148,7 +156,7 @@
             OutcomeClass::Cancelled
         } else if error.is_parse() {
             OutcomeClass::ErrorAnswer
-        } else if doubtful && self.open(address).await.is_some() {
+        } else if unproved && self.open(address).await.is_some() {
             // An upstream may close a connection that was idle for long in the moment in which it
             // is used. It still accepts new ones, so it has not crashed, and the request must not
             // be held to have crashed it.
--- a/crates/upstream/tests/pool.rs
+++ b/crates/upstream/tests/pool.rs
@@ -123,7 +123,7 @@
 #[tokio::test]
 async fn row_22_silent_connections_are_found_and_retired() {
     let upstream = spawn_standin(Duration::from_millis(50)).await;
-    let pool = doubting_pool();
+    let pool = ConnectionPool::new();
     let address = upstream.address();
     let many = (0..4).map(|_| read(&pool, address, LONG));
     futures::future::join_all(many).await;
@@ -157,16 +157,47 @@
     expect_that!(paid.is_ok(), eq(true));
 }
 
-// An upstream hangs on all its connections, old and new. That is the upstream's fault, and the
-// exchange must not call it a stale connection's: the placer would never eject it.
+// A keyed call is on a proved connection when all go silent. It waits to its deadline, since it must
+// not be run twice; but a new connection has answered real work meanwhile and no used one has, so the
+// upstream is not charged.
 #[gtest]
 #[tokio::test]
-async fn row_22_a_hung_upstream_is_charged() {
+async fn row_22_a_keyed_call_on_a_silent_connection_is_not_charged() {
     let upstream = spawn_standin(Duration::ZERO).await;
     let pool = ConnectionPool::new();
     let address = upstream.address();
     read(&pool, address, LONG).await.unwrap();
-    upstream.set_fault(FaultPlan { silence: 1.0, ..FaultPlan::NONE });
+    upstream.silence_connections();
+
+    let within = Duration::from_millis(500);
+    let paying = exchange(&pool, address, CallClass::KeyRequired, "/pay", within);
+    let (paid, beside) = tokio::join!(paying, read(&pool, address, LONG));
+
+    expect_true!(beside.is_ok());
+    let stale = ExchangeFault { outcome: OutcomeClass::StaleConnection, sent: true };
+    expect_that!(paid.unwrap_err(), eq(stale));
+}
+
+// An upstream hangs on all its connections, old and new, probes included. That is the upstream's
+// fault, and the exchange must not call it a stale connection's: the placer would never eject it.
+#[gtest]
+#[tokio::test]
+async fn row_22_a_hung_upstream_is_charged() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut held = Vec::new();
+        let (mut first, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 4_096];
+        let _ = first.read(&mut buffer).await;
+        first.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await.unwrap();
+        held.push(first);
+        while let Ok((stream, _)) = listener.accept().await {
+            held.push(stream);
+        }
+    });
+    let pool = ConnectionPool::new();
+    read(&pool, address, LONG).await.unwrap();
 
     for _ in 0..3 {
         let fault = read(&pool, address, Duration::from_millis(200)).await.unwrap_err();
@@ -174,13 +205,38 @@
     }
 }
 
+// An upstream hangs on one call in a few, and other connections of the same age answer meanwhile.
+// Connections are lost track of together, so this is the upstream's fault, and it is charged.
+#[gtest]
+#[tokio::test]
+async fn row_22_a_hang_beside_living_connections_is_charged() {
+    let upstream = spawn_standin(Duration::from_millis(20)).await;
+    let pool = ConnectionPool::new();
+    let address = upstream.address();
+    let both = tokio::join!(read(&pool, address, LONG), read(&pool, address, LONG));
+    expect_true!(both.0.is_ok() && both.1.is_ok());
+    upstream.set_fault(FaultPlan { silence: 1.0, ..FaultPlan::NONE });
+
+    let hanging = read(&pool, address, Duration::from_millis(600));
+    let (fault, beside) = tokio::join!(hanging, async {
+        while upstream.ran() < 3 {
+            tokio::task::yield_now().await;
+        }
+        upstream.set_fault(FaultPlan::NONE);
+        read(&pool, address, LONG).await
+    });
+
+    expect_true!(beside.is_ok());
+    expect_that!(fault.unwrap_err().outcome, eq(OutcomeClass::Timeout));
+}
+
 // An upstream answers probes and hangs on all real work. The exchange on an old connection may pass
 // for a stale one, once: from then on each connection is new, and each hang is charged.
 #[gtest]
 #[tokio::test]
 async fn row_22_an_upstream_that_only_answers_probes_is_charged() {
     let upstream = spawn_standin(Duration::ZERO).await;
-    let pool = doubting_pool();
+    let pool = ConnectionPool::new();
     let address = upstream.address();
     read(&pool, address, LONG).await.unwrap();
     upstream.set_fault(FaultPlan { silence: 1.0, ..FaultPlan::NONE });
@@ -194,6 +250,13 @@
     let (first, rest) = outcomes.split_first().unwrap();
     expect_that!(*first, eq(OutcomeClass::StaleConnection));
     expect_that!(rest, each(eq(&OutcomeClass::Timeout)));
+
+    // The same after it has answered on the new connections: one excuse is enough for a while.
+    upstream.set_fault(FaultPlan::NONE);
+    read(&pool, address, LONG).await.unwrap();
+    upstream.set_fault(FaultPlan { silence: 1.0, ..FaultPlan::NONE });
+    let again = read(&pool, address, Duration::from_millis(400)).await.unwrap_err();
+    expect_that!(again.outcome, eq(OutcomeClass::Timeout));
 }
 
 /// Serves connections by a script: each is read once, then written to and closed.
