decide: hindsight, path faults with noise, and limits that do not hide stragglers; bench of detectors

Change: at the threshold the evidence is looked at again in hindsight, against what the peers have shown by then in the last seconds and in just the time of the excursion; peers are also measured over one second; a lone path is told by proportion, so a stray failure elsewhere does not hide it. Tests: the row 13 tests compared the order of two ejections that may come in either order: now the set. The hedge test's bound stands; its scenario now keeps detection out and has a budget that can carry what it asks for.

--- /dev/null
+++ b/crates/decide/benches/bounds_detect.rs
@@ -0,0 +1,199 @@
+//! How soon a bad upstream is found, and how often a good one is taken for bad.
+//!
+//! Three detectors meet the same drawn traffic: errors in a row at each entry alone, the sequential
+//! test at each entry alone, and the placer with the sequential test. Detection time is the time from
+//! the onset of the fault until nine tenths of the upstream's work have stopped; a lone entry stops
+//! only its own.
+//!
+//! `DECIDE_HEALTHY_HOURS=10000` runs the long check for false ejections; without it 10 upstream-hours
+//! are run for each row.
+
+mod traffic;
+
+use decide::detect::DetectionThresholds;
+use model::config::ServiceRule;
+use std::{io::Write, process::ExitCode};
+use traffic::{
+    HEALTHY, ServiceShape, TrafficRun, UpstreamFault, build,
+    detectors::{FailureDetector, LoneEntries, OnePlacer},
+};
+
+const GUILD: ServiceShape = ServiceShape { upstreams: 15, slots: 4, entries: 48, rate: 30.0 };
+const CONVOY: ServiceShape = ServiceShape { upstreams: 8, slots: 6, entries: 36, rate: 45.0 };
+const LARGE: ServiceShape = ServiceShape { upstreams: 60, slots: 4, entries: 48, rate: 30.0 };
+
+const FAULTS: [UpstreamFault; 6] = [
+    UpstreamFault { name: "fails 5%", fail_share: 0.05, slow: 1.0 },
+    UpstreamFault { name: "fails 10%", fail_share: 0.10, slow: 1.0 },
+    UpstreamFault { name: "fails 30%", fail_share: 0.30, slow: 1.0 },
+    UpstreamFault { name: "fails 100%", fail_share: 1.0, slow: 1.0 },
+    UpstreamFault { name: "3x slow", fail_share: 0.0, slow: 3.0 },
+    UpstreamFault { name: "10x slow", fail_share: 0.0, slow: 10.0 },
+];
+
+/// What is not found by then counts as found then.
+const LIMIT: f64 = 90.0;
+const SEEDS: u64 = 5;
+
+/// Upstream-hours of healthy traffic for each row.
+const HOURS: f64 = 10.0;
+
+/// The aim: sooner than five errors in a row by this factor, at no more false ejections.
+const AIM: f64 = 5.0;
+
+#[derive(Clone, Debug)]
+enum Detector {
+    Row(u32),
+    LoneSequential(ServiceRule),
+    Placer(ServiceRule),
+}
+
+impl Detector {
+    fn open(&self, shape: &ServiceShape, seed: u64) -> Box<dyn FailureDetector> {
+        let (upstreams, entries) = (shape.upstreams, shape.entries);
+        match self {
+            Self::Row(limit) => Box::new(LoneEntries::in_a_row(*limit, upstreams, entries)),
+            Self::LoneSequential(rule) => {
+                Box::new(LoneEntries::sequential(rule, upstreams, entries))
+            }
+            Self::Placer(rule) => {
+                Box::new(OnePlacer::open(rule.clone(), upstreams, shape.slots, seed))
+            }
+        }
+    }
+
+    fn name(&self) -> String {
+        match self {
+            Self::Row(limit) => format!("each entry, {limit} in a row"),
+            Self::LoneSequential(rule) => format!("each entry, sequential, h={}", threshold(rule)),
+            Self::Placer(rule) => format!("placer, sequential, h={}", threshold(rule)),
+        }
+    }
+
+    /// Returns the median detection time in seconds.
+    fn detection(&self, shape: &ServiceShape, fault: UpstreamFault) -> f64 {
+        let times = (0..SEEDS).map(|seed| {
+            let mut detector = self.open(shape, seed);
+            let mut run = TrafficRun::open(*shape, fault, false, 100 + seed);
+            run.find(detector.as_mut(), LIMIT).unwrap_or(LIMIT)
+        });
+        let mut times: Vec<f64> = times.collect();
+        times.sort_by(f64::total_cmp);
+        times[times.len() / 2]
+    }
+
+    /// Returns the false ejections in so many upstream-hours of healthy, noisy traffic.
+    fn false_ejections(&self, shape: &ServiceShape, hours: f64, seed: u64) -> f64 {
+        let mut detector = self.open(shape, seed);
+        let seconds = hours * 3_600.0 / shape.upstreams as f64;
+        let mut run = TrafficRun::open(*shape, HEALTHY, true, seed);
+        run.run(detector.as_mut(), seconds);
+        detector.false_ejections() + if detector.found() { 1.0 } else { 0.0 }
+    }
+}
+
+fn threshold(rule: &ServiceRule) -> String {
+    format!("{:.1}", DetectionThresholds::from_rule(rule).failures)
+}
+
+fn priced(late: u32, false_ejection: u32) -> ServiceRule {
+    ServiceRule {
+        late_detection_price: late,
+        false_ejection_price: false_ejection,
+        ..ServiceRule::default()
+    }
+}
+
+fn say(line: &str) {
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "{line}");
+}
+
+fn header() {
+    let faults: Vec<String> = FAULTS.iter().map(|fault| format!("{:>10}", fault.name)).collect();
+    say(&format!("{:<34}{} | false ejections", "detector", faults.join("")));
+}
+
+fn shown(seconds: f64) -> String {
+    if seconds >= LIMIT { format!(">{LIMIT:.0} s") } else { format!("{seconds:.2} s") }
+}
+
+/// Prints a row and returns its detection times and false ejections.
+fn row(detector: &Detector, shape: &ServiceShape, hours: f64) -> (Vec<f64>, f64) {
+    let times: Vec<f64> = FAULTS.iter().map(|&fault| detector.detection(shape, fault)).collect();
+    let wrong = detector.false_ejections(shape, hours, 7);
+    let cells: Vec<String> = times.iter().map(|&time| format!("{:>10}", shown(time))).collect();
+    say(&format!("{:<34}{} | {wrong:.2} in {hours:.0} h", detector.name(), cells.join("")));
+    (times, wrong)
+}
+
+/// Compares the placer with five errors in a row. Returns whether the aim is met.
+fn compare(name: &str, shape: &ServiceShape, rule: &ServiceRule, hours: f64) -> bool {
+    say(&format!(
+        "\n{name}: {} upstreams, {} entries, {} calls/s each",
+        shape.upstreams, shape.entries, shape.rate
+    ));
+    header();
+    let (first, first_wrong) = row(&Detector::Row(5), shape, hours);
+    row(&Detector::LoneSequential(rule.clone()), shape, hours);
+    let (placer, wrong) = row(&Detector::Placer(rule.clone()), shape, hours);
+    let ratios: Vec<f64> = first.iter().zip(&placer).map(|(a, b)| a / b).collect();
+    let cells: Vec<String> = ratios.iter().map(|ratio| format!("{ratio:>9.0}x")).collect();
+    say(&format!("{:<34}{}", "placer sooner by at least", cells.join("")));
+    ratios.iter().all(|&ratio| ratio >= AIM) && wrong <= first_wrong
+}
+
+fn curve() {
+    say("\nThe curve: 15 upstreams, 48 entries, prices late : false");
+    header();
+    for limit in [2, 3, 5, 8] {
+        row(&Detector::Row(limit), &GUILD, HOURS);
+    }
+    for (late, wrong) in [(200, 1), (10, 1), (1, 1), (1, 10), (1, 60), (1, 10_000)] {
+        say(&format!("prices {late} : {wrong}"));
+        row(&Detector::Placer(priced(late, wrong)), &GUILD, HOURS);
+    }
+}
+
+/// Runs healthy traffic through the defaults of both deployments and counts false ejections.
+fn healthy(hours: f64) -> f64 {
+    let mut wrong = 0.0;
+    for (name, shape, rule) in
+        [("Guild", GUILD, build::guild_rule(15)), ("Convoy Society", CONVOY, build::convoy_rule(8))]
+    {
+        // Parts with seeds of their own, on a few threads.
+        let parts: u32 = if hours > 1_000.0 { 3 } else { 1 };
+        let detector = Detector::Placer(rule);
+        let found: f64 = std::thread::scope(|scope| {
+            let runs: Vec<_> = (0..parts)
+                .map(|part| {
+                    let detector = &detector;
+                    let hours = hours / f64::from(parts);
+                    scope.spawn(move || {
+                        detector.false_ejections(&shape, hours, 1_000 + u64::from(part))
+                    })
+                })
+                .collect();
+            runs.into_iter().map(|run| run.join().expect("a run does not panic")).sum()
+        });
+        say(&format!("healthy, {name}: {found:.0} false ejections in {hours:.0} upstream-hours"));
+        wrong += found;
+    }
+    wrong
+}
+
+fn main() -> ExitCode {
+    let hours = std::env::var("DECIDE_HEALTHY_HOURS").ok();
+    if let Some(hours) = hours.and_then(|hours| hours.parse().ok()) {
+        let wrong = healthy(hours);
+        return if wrong == 0.0 { ExitCode::SUCCESS } else { ExitCode::FAILURE };
+    }
+    let mut met = compare("Guild", &GUILD, &build::guild_rule(15), HOURS);
+    met &= compare("Convoy Society", &CONVOY, &build::convoy_rule(8), HOURS);
+    met &= compare("Large", &LARGE, &priced(1, 10), HOURS);
+    curve();
+    say(&format!(
+        "\nbound: {AIM} times sooner than five in a row, at no more false ejections: {met}"
+    ));
+    if met { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- a/crates/decide/src/detect.rs
+++ b/crates/decide/src/detect.rs
@@ -54,15 +54,30 @@
 /// By how much the share of late answers of a straggler exceeds that of its peers.
 const LATE_ALTERNATIVE: f64 = 0.4;
 
-/// How fast what was seen at peers is forgotten.
-const HALF_LIFE: Duration = Duration::from_secs(10);
+/// How fast what was seen at peers is forgotten: slowly, for shares of a few percent, and fast, for a
+/// cause that has just begun at all of them. The worse of the two is what is expected.
+const HALF_LIVES: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(1)];
+
+/// Tallies are brought up to date in steps of this part of their half-life.
+const DECAY_STEPS: u32 = 20;
 
 /// How many outcomes the prior belief "healthy" weighs against what was measured at peers.
-const PRIOR_CALLS: f64 = 50.0;
+const PRIOR_CALLS: f64 = 20.0;
+
+/// The same for the time in which evidence came together, which may be short.
+const PRIOR_PEERS: f64 = 5.0;
+
+/// What the peers have shown by the time that the threshold is reached must still speak against the
+/// upstream, by this part of the threshold in the last seconds, and by the greater part in just the
+/// time in which the evidence came together. A route that begins to fail everywhere fails a few calls
+/// of one upstream first; in hindsight its peers fared no better.
+const HINDSIGHT_PART: f64 = 0.5;
+const EXCURSION_PART: f64 = 0.8;
 
-/// Failures from one entry or one failure domain are a path fault when the others' successes would be
-/// as unlikely as `exp(-5)`, were the upstream itself at fault.
+/// Failures that come from one entry or one failure domain are a path fault when the others would have
+/// seen at least so many at its share, and have seen less than a fifth of that.
 const PATH_PROOF: f64 = 5.0;
+const PATH_PART: f64 = 0.2;
 
 /// The fewest failures from which a path fault is concluded.
 const PATH_FAILURES: u32 = 3;
@@ -127,47 +142,161 @@
     Late,
 }
 
+/// Outcomes of one kind of question: failed or not, late or not.
+#[derive(Clone, Copy, Debug, Default)]
+struct ShareTally {
+    all: f64,
+    bad: f64,
+}
+
+impl ShareTally {
+    fn count(&mut self, bad: bool) {
+        self.all += 1.0;
+        self.bad += f64::from(u8::from(bad));
+    }
+
+    fn scale(&mut self, factor: f64) {
+        self.all *= factor;
+        self.bad *= factor;
+    }
+
+    fn without(self, part: Self) -> Self {
+        Self { all: (self.all - part.all).max(0.0), bad: (self.bad - part.bad).max(0.0) }
+    }
+
+    fn expected(self, healthy: f64) -> f64 {
+        (self.bad / (self.all + PRIOR_CALLS)).max(healthy)
+    }
+
+    /// Returns the logarithm of how much likelier this is by its own share than by the expected one.
+    fn excess_over(self, expected: f64) -> f64 {
+        let own = self.bad / self.all.max(1.0);
+        if own <= expected {
+            return 0.0;
+        }
+        let own = own.min(1.0 - 1e-6);
+        let good = self.all - self.bad;
+        self.bad * (own / expected).ln() + good * ((1.0 - own) / (1.0 - expected)).ln()
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct OutcomeTally {
-    calls: f64,
-    failures: f64,
-    timed: f64,
-    late: f64,
+    failures: ShareTally,
+    late: ShareTally,
     at: Moment,
 }
 
 impl OutcomeTally {
-    fn decay(&mut self, now: Moment) {
-        let passed = now.since(self.at).as_secs_f64();
-        if passed <= 0.0 {
+    fn decay(&mut self, half_life: Duration, now: Moment) {
+        let passed = now.since(self.at);
+        if passed * DECAY_STEPS < half_life {
             return;
         }
-        let rest = (-passed / HALF_LIFE.as_secs_f64()).exp2();
-        self.calls *= rest;
-        self.failures *= rest;
-        self.timed *= rest;
-        self.late *= rest;
+        let rest = (-passed.as_secs_f64() / half_life.as_secs_f64()).exp2();
+        self.failures.scale(rest);
+        self.late.scale(rest);
         self.at = now;
     }
+
+    fn remove(&mut self, part: &Self) {
+        self.failures = self.failures.without(part.failures);
+        self.late = self.late.without(part.late);
+    }
 }
 
+/// Which question a tally answers.
+type Question = fn(&mut OutcomeTally) -> &mut ShareTally;
+
+fn failures(tally: &mut OutcomeTally) -> &mut ShareTally {
+    &mut tally.failures
+}
+
+fn late(tally: &mut OutcomeTally) -> &mut ShareTally {
+    &mut tally.late
+}
+
+/// One route over one half-life.
 #[derive(Debug, Default)]
-struct RouteEvidence {
-    meter: RouteMeter,
+struct RouteWindow {
     all: OutcomeTally,
     by_upstream: Vec<OutcomeTally>,
 }
 
-impl RouteEvidence {
-    /// Returns the tallies of the whole route and of one upstream on it, brought up to now.
-    fn tallies(&mut self, upstream: usize, now: Moment) -> (&mut OutcomeTally, &mut OutcomeTally) {
+impl RouteWindow {
+    /// Brings an upstream's tally and that of all up to now.
+    fn refresh(&mut self, upstream: usize, half_life: Duration, now: Moment) {
         if self.by_upstream.len() <= upstream {
             self.by_upstream.resize(upstream + 1, OutcomeTally::default());
         }
-        self.all.decay(now);
-        let own = &mut self.by_upstream[upstream];
-        own.decay(now);
-        (&mut self.all, own)
+        self.all.decay(half_life, now);
+        self.by_upstream[upstream].decay(half_life, now);
+    }
+
+    fn peers(&mut self, upstream: usize, question: Question) -> ShareTally {
+        let own = *question(&mut self.by_upstream[upstream]);
+        question(&mut self.all).without(own)
+    }
+
+    fn count(&mut self, upstream: usize, question: Question, bad: bool) {
+        question(&mut self.all).count(bad);
+        question(&mut self.by_upstream[upstream]).count(bad);
+    }
+
+    fn clear(&mut self, upstream: usize, half_life: Duration, now: Moment) {
+        if upstream < self.by_upstream.len() {
+            self.refresh(upstream, half_life, now);
+            let own = std::mem::take(&mut self.by_upstream[upstream]);
+            self.all.remove(&own);
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct RouteEvidence {
+    meter: RouteMeter,
+    windows: [RouteWindow; HALF_LIVES.len()],
+}
+
+impl RouteEvidence {
+    fn windows(&mut self) -> impl Iterator<Item = (&mut RouteWindow, Duration)> {
+        self.windows.iter_mut().zip(HALF_LIVES)
+    }
+
+    /// Returns the share of bad outcomes that the peers of an upstream show, and counts one of its own.
+    fn expect_and_count(
+        &mut self,
+        upstream: usize,
+        question: Question,
+        healthy: f64,
+        bad: bool,
+        now: Moment,
+    ) -> f64 {
+        let mut expected = healthy;
+        for (window, half_life) in self.windows() {
+            window.refresh(upstream, half_life, now);
+            expected = expected.max(window.peers(upstream, question).expected(healthy));
+            window.count(upstream, question, bad);
+        }
+        expected
+    }
+
+    /// Returns how much an upstream's share exceeds that of its peers, by each half-life.
+    fn excess(
+        &mut self,
+        upstream: usize,
+        question: Question,
+        healthy: f64,
+        now: Moment,
+    ) -> [f64; HALF_LIVES.len()] {
+        let mut excess = [0.0; HALF_LIVES.len()];
+        for ((window, half_life), excess) in self.windows().zip(&mut excess) {
+            window.refresh(upstream, half_life, now);
+            let expected = window.peers(upstream, question).expected(healthy);
+            let own = *question(&mut window.by_upstream[upstream]);
+            *excess = own.excess_over(expected);
+        }
+        excess
     }
 }
 
@@ -178,10 +307,42 @@
     successes: u32,
 }
 
+/// What an upstream has shown since one of its statistics last stood at zero, and what had been seen
+/// in all by then. Exactly the time in which the evidence against it came together, for its peers to
+/// be compared over.
+#[derive(Clone, Copy, Debug, Default)]
+struct Excursion {
+    before: ShareTally,
+    own: ShareTally,
+}
+
+impl Excursion {
+    /// Counts an outcome; `fresh` tells that the statistic stood at zero before it.
+    fn count(&mut self, bad: bool, fresh: bool, all: ShareTally) {
+        if fresh {
+            *self = Self { before: all, own: ShareTally::default() };
+        }
+        self.own.count(bad);
+    }
+
+    /// Returns what the peers have shown in the same time.
+    fn peers(&self, all: ShareTally) -> ShareTally {
+        all.without(self.before).without(self.own)
+    }
+
+    fn excess(&self, all: ShareTally, healthy: f64) -> f64 {
+        let peers = self.peers(all);
+        let expected = (peers.bad / (peers.all + PRIOR_PEERS)).max(healthy);
+        self.own.excess_over(expected)
+    }
+}
+
 #[derive(Debug, Default)]
 struct UpstreamEvidence {
     failing: [f64; FAILURE_ALTERNATIVES.len()],
     late: f64,
+    failing_since: Excursion,
+    late_since: Excursion,
     entries: BTreeMap<u32, SourceCount>,
     domains: BTreeMap<u32, SourceCount>,
 }
@@ -213,17 +374,23 @@
     }
 }
 
-/// Returns the one source that all failures come from, if the others' successes prove that the
-/// upstream itself works.
+/// Returns the source with the most failures, if the others fare so much better there that its path
+/// must be at fault.
 fn lone_source(counts: &BTreeMap<u32, SourceCount>) -> Option<u32> {
-    let mut failing = counts.iter().filter(|(_, count)| count.failures > 0);
-    let (&source, own) = failing.next()?;
-    if failing.next().is_some() || own.failures < PATH_FAILURES {
+    let (&source, own) = counts.iter().max_by_key(|(_, count)| count.failures)?;
+    if own.failures < PATH_FAILURES {
         return None;
     }
-    let others: u32 = counts.values().map(|count| count.successes).sum::<u32>() - own.successes;
+    let others = counts.iter().filter(|(other, _)| **other != source);
+    let (mut calls, mut failures) = (0, 0);
+    for (_, count) in others {
+        calls += count.failures + count.successes;
+        failures += count.failures;
+    }
     let share = f64::from(own.failures) / f64::from(own.failures + own.successes);
-    (f64::from(others) * share >= PATH_PROOF).then_some(source)
+    let expected = f64::from(calls) * share;
+    let proved = expected >= PATH_PROOF && f64::from(failures) < expected * PATH_PART;
+    proved.then_some(source)
 }
 
 /// The tests of all upstreams of one service.
@@ -232,6 +399,10 @@
     thresholds: DetectionThresholds,
     routes: Vec<RouteEvidence>,
     upstreams: Vec<UpstreamEvidence>,
+    /// All outcomes ever, failed or not.
+    failures: ShareTally,
+    /// All timed answers ever, late or not.
+    late: ShareTally,
     domains_seen: BTreeSet<u32>,
 }
 
@@ -239,7 +410,8 @@
     /// Opens a detector without evidence.
     pub fn open(thresholds: DetectionThresholds) -> Self {
         let (routes, upstreams) = (Vec::new(), Vec::new());
-        Self { thresholds, routes, upstreams, domains_seen: BTreeSet::new() }
+        let (failures, late) = (ShareTally::default(), ShareTally::default());
+        Self { thresholds, routes, upstreams, failures, late, domains_seen: BTreeSet::new() }
     }
 
     /// Follows a change of prices.
@@ -269,13 +441,12 @@
             Evidence::UntimedAnswer => self.judge_failure(source, false, now),
             Evidence::Failure => self.judge_failure(source, true, now),
             Evidence::Overtaken(ran_us) => {
-                let late = self.times(source.route).is_some_and(|times| ran_us > times.p90);
-                if late {
+                if self.times(source.route).is_some_and(|times| ran_us > times.p90) {
                     self.judge_time(source, ran_us, now);
                 }
             }
         }
-        self.verdict(source.upstream)
+        self.verdict(source.upstream, now)
     }
 
     /// Returns how far the evidence against an upstream has come: 1 is the threshold.
@@ -300,17 +471,28 @@
     /// Returns how bad an upstream has been of late: the share of its calls that failed, or a quarter of
     /// the share that was late, whichever is greater.
     pub fn badness(&self, upstream: usize) -> f64 {
-        let tallies = self.routes.iter().filter_map(|route| route.by_upstream.get(upstream));
-        let mut sum = OutcomeTally::default();
+        let slow_windows = self.routes.iter().map(|route| &route.windows[0]);
+        let tallies = slow_windows.filter_map(|window| window.by_upstream.get(upstream));
+        let (mut failures, mut late) = (ShareTally::default(), ShareTally::default());
         for tally in tallies {
-            sum.calls += tally.calls;
-            sum.failures += tally.failures;
-            sum.timed += tally.timed;
-            sum.late += tally.late;
+            failures.all += tally.failures.all;
+            failures.bad += tally.failures.bad;
+            late.all += tally.late.all;
+            late.bad += tally.late.bad;
+        }
+        let failing = failures.bad / failures.all.max(1.0);
+        failing.max(late.bad / late.all.max(1.0) / 4.0)
+    }
+
+    /// Returns how many answers of the last second or two came from an upstream, and from all.
+    pub fn answers(&self, upstream: usize) -> (f64, f64) {
+        let (mut own, mut all) = (0.0, 0.0);
+        for route in &self.routes {
+            let window = &route.windows[1];
+            own += window.by_upstream.get(upstream).map_or(0.0, |tally| tally.failures.all);
+            all += window.all.failures.all;
         }
-        let failing = sum.failures / sum.calls.max(1.0);
-        let late = sum.late / sum.timed.max(1.0);
-        failing.max(late / 4.0)
+        (own, all)
     }
 
     /// Drops the evidence against an upstream.
@@ -319,13 +501,9 @@
             *evidence = UpstreamEvidence::default();
         }
         for route in &mut self.routes {
-            if let Some(tally) = route.by_upstream.get_mut(upstream) {
-                tally.decay(route.all.at);
-                route.all.calls -= tally.calls;
-                route.all.failures -= tally.failures;
-                route.all.timed -= tally.timed;
-                route.all.late -= tally.late;
-                *tally = OutcomeTally { at: tally.at, ..OutcomeTally::default() };
+            for (window, half_life) in route.windows() {
+                let now = window.all.at;
+                window.clear(upstream, half_life, now);
             }
         }
     }
@@ -349,18 +527,17 @@
     }
 
     fn judge_failure(&mut self, source: &EvidenceSource, failed: bool, now: Moment) {
-        let (all, own) = self.routes[source.route].tallies(source.upstream, now);
-        let calls = (all.calls - own.calls).max(0.0);
-        let failures = (all.failures - own.failures).max(0.0);
-        let expected = (failures / (calls + PRIOR_CALLS)).max(HEALTHY_FAILURES);
-        for tally in [all, own] {
-            tally.calls += 1.0;
-            tally.failures += f64::from(u8::from(failed));
-        }
-        let evidence = &mut self.upstreams[source.upstream];
-        if !failed && evidence.greatest_failing() <= 0.0 {
+        let route = &mut self.routes[source.route];
+        let upstream = source.upstream;
+        let expected = route.expect_and_count(upstream, failures, HEALTHY_FAILURES, failed, now);
+        let before = self.failures;
+        self.failures.count(failed);
+        let evidence = &mut self.upstreams[upstream];
+        let fresh = evidence.greatest_failing() <= 0.0;
+        if !failed && fresh {
             return;
         }
+        evidence.failing_since.count(failed, fresh, before);
         for (value, excess) in evidence.failing.iter_mut().zip(FAILURE_ALTERNATIVES) {
             let cap = self.thresholds.failures * 2.0;
             *value = (*value + likelihood(failed, expected, excess)).clamp(0.0, cap);
@@ -375,22 +552,37 @@
     fn judge_time(&mut self, source: &EvidenceSource, took_us: u64, now: Moment) {
         let route = &mut self.routes[source.route];
         let Some(times) = route.meter.times() else { return };
-        let late = took_us > times.p90;
-        let (all, own) = route.tallies(source.upstream, now);
-        let timed = (all.timed - own.timed).max(0.0);
-        let slow = (all.late - own.late).max(0.0);
-        let expected = (slow / (timed + PRIOR_CALLS)).max(HEALTHY_LATE);
-        for tally in [all, own] {
-            tally.timed += 1.0;
-            tally.late += f64::from(u8::from(late));
-        }
+        let is_late = took_us > times.p90;
+        let expected = route.expect_and_count(source.upstream, late, HEALTHY_LATE, is_late, now);
+        let before = self.late;
+        self.late.count(is_late);
         let evidence = &mut self.upstreams[source.upstream];
+        let fresh = evidence.late <= 0.0;
+        evidence.late_since.count(is_late, fresh, before);
         let cap = self.thresholds.latency * 2.0;
-        let step = likelihood(late, expected, LATE_ALTERNATIVE);
+        let step = likelihood(is_late, expected, LATE_ALTERNATIVE);
         evidence.late = (evidence.late + step).clamp(0.0, cap);
     }
 
-    fn verdict(&mut self, upstream: usize) -> DetectionVerdict {
+    /// Tells whether what the peers have shown until now still speaks against an upstream.
+    fn holds_in_hindsight(
+        &mut self,
+        upstream: usize,
+        question: Question,
+        healthy: f64,
+        threshold: f64,
+        now: Moment,
+    ) -> bool {
+        let needed = threshold * HINDSIGHT_PART;
+        let mut sums = [0.0; HALF_LIVES.len()];
+        for route in &mut self.routes {
+            let excess = route.excess(upstream, question, healthy, now);
+            sums.iter_mut().zip(excess).for_each(|(sum, excess)| *sum += excess);
+        }
+        sums.iter().any(|&sum| sum >= needed)
+    }
+
+    fn verdict(&mut self, upstream: usize, now: Moment) -> DetectionVerdict {
         let evidence = &mut self.upstreams[upstream];
         if let Some(entry) = lone_source(&evidence.entries) {
             evidence.failing = Default::default();
@@ -402,11 +594,36 @@
             evidence.forget_sources();
             return DetectionVerdict::DomainPath(domain);
         }
-        if evidence.greatest_failing() >= self.thresholds.failures {
-            return DetectionVerdict::Failing;
+        let (failing, slow) = (evidence.greatest_failing(), evidence.late);
+        let limits = self.thresholds;
+        if failing >= limits.failures {
+            let since = self.upstreams[upstream].failing_since;
+            let excess = since.excess(self.failures, HEALTHY_FAILURES);
+            if excess >= limits.failures * EXCURSION_PART
+                && self.holds_in_hindsight(
+                    upstream,
+                    failures,
+                    HEALTHY_FAILURES,
+                    limits.failures,
+                    now,
+                )
+            {
+                return DetectionVerdict::Failing;
+            }
+            self.discount(upstream);
         }
-        if evidence.late >= self.thresholds.latency {
-            return DetectionVerdict::Late;
+        if slow >= limits.latency {
+            let since = self.upstreams[upstream].late_since;
+            let excess = since.excess(self.late, HEALTHY_LATE);
+            // Where the peers' times do not count (cold, or given too much) nothing compares.
+            let compared = since.peers(self.late).all >= since.own.all;
+            if compared
+                && excess >= limits.latency * EXCURSION_PART
+                && self.holds_in_hindsight(upstream, late, HEALTHY_LATE, limits.latency, now)
+            {
+                return DetectionVerdict::Late;
+            }
+            self.discount(upstream);
         }
         DetectionVerdict::Calm
     }
--- a/crates/decide/src/limit.rs
+++ b/crates/decide/src/limit.rs
@@ -21,8 +21,8 @@
 /// back by a few slots and would have met the next shed answer.
 const PRESSED_SPAN: Duration = Duration::from_secs(5);
 
-/// How many answers at each number of calls are compared. The mean of so many is right to a tenth.
-const LEVEL_SAMPLES: u32 = 128;
+/// How many answers at each number of calls make a block. The mean of so many is right to a tenth.
+const BLOCK: u32 = 64;
 
 /// Throughput below this part of that with fewer calls is falling; noise does not reach it.
 const FALLING: f64 = 0.7;
@@ -33,11 +33,39 @@
 /// Numbers of calls above this share one level.
 const LEVELS: usize = 64;
 
+/// The mean time of one block of answers, in parts of the route's median, and when they came.
+#[derive(Clone, Copy, Debug)]
+struct LoadBlock {
+    mean: f64,
+    began: Moment,
+    ended: Moment,
+}
+
+/// Answers that began with the same number of calls running.
 #[derive(Clone, Copy, Debug, Default)]
 struct LoadLevel {
     answers: u32,
-    /// The mean of the time taken, in parts of the route's median.
-    mean: f64,
+    sum: f64,
+    began: Moment,
+    last: Option<LoadBlock>,
+}
+
+impl LoadLevel {
+    /// Counts an answer and returns whether it was the last of a block.
+    fn count(&mut self, ratio: f64, now: Moment) -> bool {
+        if self.answers == 0 {
+            self.began = now;
+        }
+        self.answers += 1;
+        self.sum += ratio;
+        if self.answers < BLOCK {
+            return false;
+        }
+        let mean = self.sum / f64::from(self.answers);
+        self.last = Some(LoadBlock { mean, began: self.began, ended: now });
+        (self.answers, self.sum) = (0, 0.0);
+        true
+    }
 }
 
 /// The limit of one upstream.
@@ -118,24 +146,22 @@
         if self.levels.len() <= index {
             self.levels.resize(index + 1, LoadLevel::default());
         }
-        let level = &mut self.levels[index];
-        level.answers = (level.answers + 1).min(LEVEL_SAMPLES * 4);
-        level.mean += (ratio - level.mean) / f64::from(level.answers);
-        if level.answers.is_multiple_of(LEVEL_SAMPLES) {
+        if self.levels[index].count(ratio, now) {
             self.cut_where_throughput_falls(index, now);
         }
     }
 
+    /// Compares blocks that overlap in time only. An upstream that has become slow altogether is full
+    /// all the time, and its times with fewer calls are those of better days: no reason for a cut.
     fn cut_where_throughput_falls(&mut self, index: usize, now: Moment) {
-        let throughput = |index: usize| {
-            let level = self.levels[index];
-            let known = level.answers >= LEVEL_SAMPLES && level.mean > 0.0;
-            known.then(|| (index + 1) as f64 / level.mean)
-        };
-        let Some(here) = throughput(index) else { return };
-        let fewer = (0..index).filter_map(|i| throughput(i).map(|value| (i, value)));
+        let Some(here) = self.levels[index].last else { return };
+        let throughput = |index: usize, block: LoadBlock| (index + 1) as f64 / block.mean.max(1e-3);
+        let fewer = (0..index).filter_map(|fewer| {
+            let block = self.levels[fewer].last.filter(|block| block.ended > here.began)?;
+            (block.began < here.ended).then(|| (fewer, throughput(fewer, block)))
+        });
         let Some((best, most)) = fewer.max_by(|a, b| a.1.total_cmp(&b.1)) else { return };
-        if here < most * FALLING {
+        if throughput(index, here) < most * FALLING {
             self.cut = Some((best as u32 + 1, now + CUT_SPAN));
         }
     }
--- a/crates/decide/src/placer/standing.rs
+++ b/crates/decide/src/placer/standing.rs
@@ -43,6 +43,9 @@
 const DOUBLINGS_LIMIT: u32 = 6;
 const LONGEST_EJECTION: Duration = Duration::from_secs(600);
 
+/// An upstream that answers at least this part of what its peers answer keeps up with them.
+const KEEPS_UP: f64 = 0.75;
+
 /// An ejection within so many first time outs after a return counts as flapping.
 const FLAP_MEMORY: u32 = 10;
 
@@ -83,6 +86,9 @@
         if doubtful && self.detector.suspicion(target as usize) < DOUBTFUL {
             return;
         }
+        if reason == EjectReason::Latency && self.is_overfilled(target) {
+            return self.fill_less(target, now);
+        }
         let badness = self.detector.badness(target as usize);
         if !self.floor_allows(target, 0, now) && !self.make_room(target, badness, now, actions) {
             return;
@@ -94,6 +100,28 @@
         self.eject(target, reason, now, actions);
     }
 
+    /// Tells whether an upstream is late because it is given more than its peers: it has more calls
+    /// at once and answers about as many. A straggler answers fewer.
+    fn is_overfilled(&self, target: u32) -> bool {
+        let state = self.targets.get(target);
+        let others = self.targets.iter().filter(|(_, other)| other.is_member()).count() - 1;
+        let others = others as f64;
+        // The call that has just ended ran there as well.
+        let level = f64::from(state.busy + 1);
+        let busier = level * others > f64::from(self.targets.busy() - state.busy);
+        let (own, all) = self.detector.answers(target as usize);
+        let keeps_up = own * others >= (all - own) * KEEPS_UP;
+        busier && keeps_up && state.limit.current() > 1
+    }
+
+    fn fill_less(&mut self, target: u32, now: Moment) {
+        let state = self.targets.get_mut(target);
+        let busy = state.busy;
+        state.limit.shed(busy, now);
+        self.detector.discount(target as usize);
+        self.targets.refresh(target, now);
+    }
+
     fn is_flapping(&self, target: u32, now: Moment) -> bool {
         let returned = self.targets.get(target).returned;
         returned.is_some_and(|returned| now.since(returned) < self.first_span() * FLAP_MEMORY)
--- a/crates/decide/src/placer/target.rs
+++ b/crates/decide/src/placer/target.rs
@@ -368,7 +368,9 @@
         } else {
             self.ramping.remove(&index);
         }
-        let filled = (target.busy + 1) * 1_000 / allowed.max(1);
+        // By what runs, so that idle ones are equal however far their limits have come: one that is
+        // never used would never grow, and never be judged.
+        let filled = target.busy * 1_000 / allowed.max(1);
         let penalty = if target.suspect { SUSPECT_PENALTY } else { 0 };
         let key = (target.busy < allowed).then_some((filled + penalty, target.last_used));
         if target.serves() && matches!(target.standing, Standing::Trial { running: false, .. }) {
--- a/crates/decide/tests/load.rs
+++ b/crates/decide/tests/load.rs
@@ -99,7 +99,8 @@
 }
 
 // One upstream is slow, and there is no evidence yet. Second tries at others keep its callers from
-// waiting, and cost less than one in ten.
+// waiting, and cost less than one in ten. Of that budget one half goes into the slowest twentieth of
+// ordinary calls; the other carries the slow upstream's, where it is one of two dozen.
 #[gtest]
 fn second_tries_cut_the_wait_behind_a_slow_upstream() {
     let mut took = [Vec::new(), Vec::new()];
@@ -111,7 +112,11 @@
             };
             let mut plan = WorldPlan { condition: Box::new(slow), ..WorldPlan::guild(seed) };
             plan.rule.hedge = hedge;
+            // An ejection would hide what is looked at here.
+            plan.rule.false_ejection_price = u32::MAX;
             plan.routes = vec![(1.0, 30.0)];
+            plan.upstreams = 24;
+            plan.rate = Box::new(|_| 960.0);
             let mut world = World::open(plan);
             world.run_seconds(7);
             expect_that!(world.outcome.tries_per_call(), le(1.1));
--- a/crates/decide/tests/rows.rs
+++ b/crates/decide/tests/rows.rs
@@ -128,7 +128,9 @@
     let rule = ServiceRule { floor_slots: 24, ejection_ms: 60_000, ..ServiceRule::default() };
     let mut direct = Direct::open(rule, 8, 4);
     let actions = direct.run_calls(400, fail_on(&[1, 2]));
-    assert_eq!(ejected(&actions), [1, 2], "both fail and both can be spared");
+    let mut out = ejected(&actions);
+    out.sort_unstable();
+    assert_eq!(out, [1, 2], "both fail and both can be spared");
     direct
 }
 
