--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -30,18 +30,14 @@
     time::{Instant, timeout},
 };
 
-use crate::exchange::ExchangeFault;
+use crate::{
+    exchange::ExchangeFault,
+    target::{IdleConnection, PoolState},
+};
 
 /// The body of a request as it goes to an upstream.
 pub type RequestBody = UnsyncBoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
 
-/// For how long after silent connections were found a newer one is not held to be silent as well.
-///
-/// Failure: an upstream hangs on some of its work and answers probes. Symptom: each hang passes for a
-/// silent connection and the upstream is never charged. Connections are lost track of together and
-/// seldom, so one such finding in this time excuses the upstream once, and the next hang is charged.
-const EPISODE_GAP: Duration = Duration::from_secs(30);
-
 /// How many probes may run at once: one costs an upstream about 25 ms of its time.
 const PROBES_LIMIT: usize = 4;
 
@@ -78,38 +74,6 @@
     }
 }
 
-struct IdleConnection {
-    sender: SendRequest<RequestBody>,
-    opened: Instant,
-    proved: Instant,
-}
-
-/// The connections to one upstream.
-#[derive(Default)]
-struct TargetState {
-    /// The most recently proved last.
-    idle: Vec<IdleConnection>,
-    in_use: usize,
-    /// When a new connection last answered, and one that was used before.
-    new_works: Option<Instant>,
-    reused_works: Option<Instant>,
-    /// When connections were last found to be silent.
-    found_silent: Option<Instant>,
-}
-
-impl TargetState {
-    /// Tells whether a connection opened then may be one of many that went silent.
-    fn may_be_silent(&self, opened: Instant) -> bool {
-        self.found_silent.is_none_or(|found| opened <= found || found.elapsed() >= EPISODE_GAP)
-    }
-}
-
-struct PoolState {
-    targets: HashMap<SocketAddr, TargetState>,
-    swept: Instant,
-    started: Instant,
-}
-
 struct PoolShared {
     settings: PoolSettings,
     state: Mutex<PoolState>,
@@ -345,29 +309,6 @@
     }
 }
 
-impl PoolState {
-    /// Closes what has been idle for too long or is too much, and forgets upstreams that are gone.
-    fn sweep(&mut self, settings: &PoolSettings) {
-        self.swept = Instant::now();
-        let oldest = self.oldest_kept(settings);
-        self.targets.retain(|_, target| {
-            target.idle.retain(|one| !one.sender.is_closed() && one.proved > oldest);
-            let remembered = target.found_silent.is_some_and(|at| at.elapsed() < EPISODE_GAP);
-            target.in_use > 0 || !target.idle.is_empty() || remembered
-        });
-    }
-
-    /// Returns after which moment an idle connection must be proved to be kept.
-    fn oldest_kept(&self, settings: &PoolSettings) -> Instant {
-        let by_age = self.swept.checked_sub(settings.idle_limit);
-        let all = self.targets.values().flat_map(|target| &target.idle);
-        let mut proved: Vec<_> = all.map(|one| one.proved).collect();
-        let surplus = proved.len().saturating_sub(settings.idle_total);
-        let by_count = surplus.checked_sub(1).map(|last| *proved.select_nth_unstable(last).1);
-        by_age.into_iter().chain(by_count).max().unwrap_or(self.started)
-    }
-}
-
 async fn open(address: SocketAddr) -> Option<SendRequest<RequestBody>> {
     let stream = TcpStream::connect(address).await.ok()?;
     // Without it a small request can wait 40 ms for the acknowledgement of the one before.
--- a/crates/upstream/src/send.rs
+++ b/crates/upstream/src/send.rs
@@ -101,17 +101,25 @@
                 Ok(response.map(|body| AnswerBody::new(body, connection, at_end)))
             }
             Ok(Err(error)) => Err(self.classify(error, address, unproved).await),
-            // A call that must not run twice has waited to its end, with nothing but real work to
-            // tell whose fault it was.
-            Err(_) if may_be_silent && self.works_since(address, sent) == (false, true) => {
-                self.note_silent(address);
-                let outcome = OutcomeClass::StaleConnection;
+            Err(silence) => {
+                let excused = may_be_silent && self.is_excused(silence, address, sent);
+                let outcome = if excused { OutcomeClass::StaleConnection } else { silence };
                 Err(SendFault::Failed(ExchangeFault { outcome, sent: true }))
             }
-            Err(outcome) => Err(SendFault::Failed(ExchangeFault { outcome, sent: true })),
         }
     }
 
+    /// Tells whether silence is the connection's fault and not the upstream's, and notes that. A call
+    /// that must not run twice has waited to its end, with nothing but real work to tell.
+    fn is_excused(&self, silence: OutcomeClass, address: SocketAddr, sent: Instant) -> bool {
+        let found = silence == OutcomeClass::StaleConnection
+            || self.works_since(address, sent) == (false, true);
+        if found {
+            self.note_silent(address);
+        }
+        found
+    }
+
     /// Waits for the head of an answer on a connection that may have been lost track of.
     async fn doubtful_head(
         &self,
