model, trial: a service is not split yet, and says so; reads apart from payments

Cause: a patch could set `shards` to 64 and nothing came of it. The main job's added delay mixed reads with payments, which wait for a synced claim.

Change: only 1 is accepted, with the range in the refusal; the field stays in the format. The table shows the delay of reads and of payments.

Conclusion: splitting a service by failure domain is open; docs/CAPACITY.md tells at which size it is needed.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -41,7 +41,8 @@
     pub ejection_ms: u32,
     /// How long a cold upstream takes to reach its full share, in milliseconds.
     pub ramp_ms: u32,
-    /// Into how many placers the service is split by failure domain. 1 until one cannot carry it.
+    /// Into how many placers the service is split by failure domain. Only 1 is accepted so far: the
+    /// field stands in the format, so that splitting a service needs no new one.
     pub shards: u32,
 }
 
--- a/crates/model/src/patch.rs
+++ b/crates/model/src/patch.rs
@@ -376,7 +376,8 @@
     range("retry-percent", rule.retry_percent, 0, 100);
     range("ejection-ms", rule.ejection_ms, 100, 3_600_000);
     range("ramp-ms", rule.ramp_ms, 0, 3_600_000);
-    range("shards", rule.shards, 1, 64);
+    // A number that is taken and then changes nothing would mislead whoever sets it.
+    range("shards", rule.shards, 1, 1);
 }
 
 fn check_settings(settings: &ControlSettings, faults: &mut Vec<PatchFault>) {
--- a/crates/trial/examples/hunt_day.rs
+++ b/crates/trial/examples/hunt_day.rs
@@ -58,10 +58,11 @@
         self.broken.iter().map(doubled).sum()
     }
 
-    fn added(&self, quantile: f64) -> f64 {
-        let through = self.tally.took.value_at_quantile(quantile);
+    /// Returns by how many milliseconds a quantile is later than that of direct calls.
+    fn added(&self, through: &Histogram<u64>, quantile: f64) -> String {
+        let through = through.value_at_quantile(quantile);
         let direct = self.direct.value_at_quantile(quantile);
-        (through as f64 - direct as f64) / 1_000.0
+        format!("{:.2}", (through as f64 - direct as f64) / 1_000.0)
     }
 }
 
@@ -172,7 +173,9 @@
     row("last work after leaving (ms)", &|r| {
         r.late_work.map_or("none".to_owned(), |late| late.as_millis().to_string())
     });
-    row("added delay p50 (ms)", &|r| format!("{:.2}", r.added(0.5)));
-    row("added delay p99 (ms)", &|r| format!("{:.2}", r.added(0.99)));
+    row("added to a read, p50 (ms)", &|r| r.added(&r.tally.reads_took, 0.5));
+    row("added to a read, p99 (ms)", &|r| r.added(&r.tally.reads_took, 0.99));
+    row("added to a payment, p50 (ms)", &|r| r.added(&r.tally.keyed_took, 0.5));
+    row("added to a payment, p99 (ms)", &|r| r.added(&r.tally.keyed_took, 0.99));
     eprintln!("{table}");
 }
--- a/crates/trial/src/load.rs
+++ b/crates/trial/src/load.rs
@@ -55,8 +55,10 @@
     pub refused_keys: Vec<String>,
     /// Keys that got a whole answer, so that they must have run once.
     pub answered_keys: Vec<String>,
-    /// How long whole answers took, in microseconds.
-    pub took: Histogram<u64>,
+    /// How long whole answers to reads took, in microseconds.
+    pub reads_took: Histogram<u64>,
+    /// How long whole answers to calls with a key took, in microseconds.
+    pub keyed_took: Histogram<u64>,
 }
 
 impl Default for LoadTally {
@@ -72,7 +74,8 @@
             resends: 0,
             refused_keys: Vec::new(),
             answered_keys: Vec::new(),
-            took: Histogram::new(3).expect("three digits are allowed"),
+            reads_took: Histogram::new(3).expect("three digits are allowed"),
+            keyed_took: Histogram::new(3).expect("three digits are allowed"),
         }
     }
 }
@@ -89,7 +92,8 @@
         self.resends += other.resends;
         self.refused_keys.extend(other.refused_keys.iter().cloned());
         self.answered_keys.extend(other.answered_keys.iter().cloned());
-        self.took.add(&other.took).expect("both grow as needed");
+        self.reads_took.add(&other.reads_took).expect("both grow as needed");
+        self.keyed_took.add(&other.keyed_took).expect("both grow as needed");
     }
 }
 
@@ -234,7 +238,12 @@
         let kind = match answer {
             Ok(answer) => {
                 self.connection = Some(connection);
-                self.judge(&answer, path, started.elapsed())
+                let took = started.elapsed();
+                let kind = self.judge(&answer, path);
+                if kind == AnswerKind::Whole {
+                    self.record(key.is_some(), took);
+                }
+                kind
             }
             Err(_) => {
                 self.number += 1;
@@ -261,14 +270,20 @@
         Some((address, connection?))
     }
 
-    fn judge(&mut self, answer: &WholeAnswer, path: &str, took: Duration) -> AnswerKind {
+    fn record(&mut self, keyed: bool, took: Duration) {
+        let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        let histogram = if keyed { &mut self.tally.keyed_took } else { &mut self.tally.reads_took };
+        histogram.record(micros).expect("the histogram grows as needed");
+    }
+
+    fn judge(&mut self, answer: &WholeAnswer, path: &str) -> AnswerKind {
         match answer.header(OUTCOME_HEADER) {
             "not-run" => AnswerKind::NotRun,
             "unknown" => AnswerKind::Unknown,
             "in-progress" => AnswerKind::InProgress,
             _ if answer.status.is_server_error() => AnswerKind::Error,
             _ => {
-                self.check_whole(answer, path, took);
+                self.check_whole(answer, path);
                 AnswerKind::Whole
             }
         }
@@ -285,13 +300,11 @@
         *counter += 1;
     }
 
-    fn check_whole(&mut self, answer: &WholeAnswer, path: &str, took: Duration) {
+    fn check_whole(&mut self, answer: &WholeAnswer, path: &str) {
         let text = String::from_utf8_lossy(&answer.body);
         if text.split(' ').nth(1) != Some(path) {
             self.tally.foreign += 1;
         }
-        let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-        self.tally.took.record(micros).expect("the histogram grows as needed");
     }
 }
 
