--- a/crates/decide/src/detect.rs
+++ b/crates/decide/src/detect.rs
@@ -69,7 +69,8 @@
 
 /// What the peers have shown by the time that the threshold is reached must still speak against the
 /// upstream, by this part of the threshold in the last seconds, and by the greater part in just the
-/// time in which the evidence came together. A route that begins to fail everywhere fails a few calls
+/// time in which the evidence came together. (For lateness the second alone: a straggler answers too
+/// seldom to outweigh its better days within seconds.) A route that begins to fail everywhere fails a few calls
 /// of one upstream first; in hindsight its peers fared no better.
 const HINDSIGHT_PART: f64 = 0.5;
 const EXCURSION_PART: f64 = 0.8;
@@ -565,18 +566,11 @@
     }
 
     /// Tells whether what the peers have shown until now still speaks against an upstream.
-    fn holds_in_hindsight(
-        &mut self,
-        upstream: usize,
-        question: Question,
-        healthy: f64,
-        threshold: f64,
-        now: Moment,
-    ) -> bool {
-        let needed = threshold * HINDSIGHT_PART;
+    fn fails_in_hindsight(&mut self, upstream: usize, now: Moment) -> bool {
+        let needed = self.thresholds.failures * HINDSIGHT_PART;
         let mut sums = [0.0; HALF_LIVES.len()];
         for route in &mut self.routes {
-            let excess = route.excess(upstream, question, healthy, now);
+            let excess = route.excess(upstream, failures, HEALTHY_FAILURES, now);
             sums.iter_mut().zip(excess).for_each(|(sum, excess)| *sum += excess);
         }
         sums.iter().any(|&sum| sum >= needed)
@@ -599,14 +593,7 @@
         if failing >= limits.failures {
             let since = self.upstreams[upstream].failing_since;
             let excess = since.excess(self.failures, HEALTHY_FAILURES);
-            if excess >= limits.failures * EXCURSION_PART
-                && self.holds_in_hindsight(
-                    upstream,
-                    failures,
-                    HEALTHY_FAILURES,
-                    limits.failures,
-                    now,
-                )
+            if excess >= limits.failures * EXCURSION_PART && self.fails_in_hindsight(upstream, now)
             {
                 return DetectionVerdict::Failing;
             }
@@ -617,10 +604,7 @@
             let excess = since.excess(self.late, HEALTHY_LATE);
             // Where the peers' times do not count (cold, or given too much) nothing compares.
             let compared = since.peers(self.late).all >= since.own.all;
-            if compared
-                && excess >= limits.latency * EXCURSION_PART
-                && self.holds_in_hindsight(upstream, late, HEALTHY_LATE, limits.latency, now)
-            {
+            if compared && excess >= limits.latency * EXCURSION_PART {
                 return DetectionVerdict::Late;
             }
             self.discount(upstream);
