--- a/crates/decide/src/detect.rs
+++ b/crates/decide/src/detect.rs
@@ -24,12 +24,13 @@
 //! constant [`BASE_THRESHOLD`] is set by the bench `bounds_detect`: no false ejection in the drawn
 //! traffic of healthy upstreams.
 
-use crate::hedge::RouteMeter;
+mod evidence;
+mod tally;
+
+use evidence::{UpstreamEvidence, lone_source};
 use model::{config::ServiceRule, moment::Moment};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::collections::BTreeSet;
+use tally::{HALF_LIVES, RouteEvidence, ShareTally, failures, late};
 
 /// The threshold of the failure test at equal prices, in nats.
 pub const BASE_THRESHOLD: f64 = 10.0;
@@ -54,19 +55,6 @@
 /// By how much the share of late answers of a straggler exceeds that of its peers.
 const LATE_ALTERNATIVE: f64 = 0.4;
 
-/// How fast what was seen at peers is forgotten: slowly, for shares of a few percent, and fast, for a
-/// cause that has just begun at all of them. The worse of the two is what is expected.
-const HALF_LIVES: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(1)];
-
-/// Tallies are brought up to date in steps of this part of their half-life.
-const DECAY_STEPS: u32 = 20;
-
-/// How many outcomes the prior belief "healthy" weighs against what was measured at peers.
-const PRIOR_CALLS: f64 = 20.0;
-
-/// The same for the time in which evidence came together, which may be short.
-const PRIOR_PEERS: f64 = 5.0;
-
 /// What the peers have shown by the time that the threshold is reached must still speak against the
 /// upstream, by this part of the threshold in the last seconds, and by the greater part in just the
 /// time in which the evidence came together. (For lateness the second alone: a straggler answers too
@@ -75,14 +63,6 @@
 const HINDSIGHT_PART: f64 = 0.5;
 const EXCURSION_PART: f64 = 0.8;
 
-/// Failures that come from one entry or one failure domain are a path fault when the others would have
-/// seen at least so many at its share, and have seen less than a fifth of that.
-const PATH_PROOF: f64 = 5.0;
-const PATH_PART: f64 = 0.2;
-
-/// The fewest failures from which a path fault is concluded.
-const PATH_FAILURES: u32 = 3;
-
 /// Thresholds in nats.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DetectionThresholds {
@@ -143,257 +123,6 @@
     Late,
 }
 
-/// Outcomes of one kind of question: failed or not, late or not.
-#[derive(Clone, Copy, Debug, Default)]
-struct ShareTally {
-    all: f64,
-    bad: f64,
-}
-
-impl ShareTally {
-    fn count(&mut self, bad: bool) {
-        self.all += 1.0;
-        self.bad += f64::from(u8::from(bad));
-    }
-
-    fn scale(&mut self, factor: f64) {
-        self.all *= factor;
-        self.bad *= factor;
-    }
-
-    fn without(self, part: Self) -> Self {
-        Self { all: (self.all - part.all).max(0.0), bad: (self.bad - part.bad).max(0.0) }
-    }
-
-    fn expected(self, healthy: f64) -> f64 {
-        (self.bad / (self.all + PRIOR_CALLS)).max(healthy)
-    }
-
-    /// Returns the logarithm of how much likelier this is by its own share than by the expected one.
-    fn excess_over(self, expected: f64) -> f64 {
-        let own = self.bad / self.all.max(1.0);
-        if own <= expected {
-            return 0.0;
-        }
-        let own = own.min(1.0 - 1e-6);
-        let good = self.all - self.bad;
-        self.bad * (own / expected).ln() + good * ((1.0 - own) / (1.0 - expected)).ln()
-    }
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct OutcomeTally {
-    failures: ShareTally,
-    late: ShareTally,
-    at: Moment,
-}
-
-impl OutcomeTally {
-    fn decay(&mut self, half_life: Duration, now: Moment) {
-        let passed = now.since(self.at);
-        if passed * DECAY_STEPS < half_life {
-            return;
-        }
-        let rest = (-passed.as_secs_f64() / half_life.as_secs_f64()).exp2();
-        self.failures.scale(rest);
-        self.late.scale(rest);
-        self.at = now;
-    }
-
-    fn remove(&mut self, part: &Self) {
-        self.failures = self.failures.without(part.failures);
-        self.late = self.late.without(part.late);
-    }
-}
-
-/// Which question a tally answers.
-type Question = fn(&mut OutcomeTally) -> &mut ShareTally;
-
-fn failures(tally: &mut OutcomeTally) -> &mut ShareTally {
-    &mut tally.failures
-}
-
-fn late(tally: &mut OutcomeTally) -> &mut ShareTally {
-    &mut tally.late
-}
-
-/// One route over one half-life.
-#[derive(Debug, Default)]
-struct RouteWindow {
-    all: OutcomeTally,
-    by_upstream: Vec<OutcomeTally>,
-}
-
-impl RouteWindow {
-    /// Brings an upstream's tally and that of all up to now.
-    fn refresh(&mut self, upstream: usize, half_life: Duration, now: Moment) {
-        if self.by_upstream.len() <= upstream {
-            self.by_upstream.resize(upstream + 1, OutcomeTally::default());
-        }
-        self.all.decay(half_life, now);
-        self.by_upstream[upstream].decay(half_life, now);
-    }
-
-    fn peers(&mut self, upstream: usize, question: Question) -> ShareTally {
-        let own = *question(&mut self.by_upstream[upstream]);
-        question(&mut self.all).without(own)
-    }
-
-    fn count(&mut self, upstream: usize, question: Question, bad: bool) {
-        question(&mut self.all).count(bad);
-        question(&mut self.by_upstream[upstream]).count(bad);
-    }
-
-    fn clear(&mut self, upstream: usize, half_life: Duration, now: Moment) {
-        if upstream < self.by_upstream.len() {
-            self.refresh(upstream, half_life, now);
-            let own = std::mem::take(&mut self.by_upstream[upstream]);
-            self.all.remove(&own);
-        }
-    }
-}
-
-#[derive(Debug, Default)]
-struct RouteEvidence {
-    meter: RouteMeter,
-    windows: [RouteWindow; HALF_LIVES.len()],
-}
-
-impl RouteEvidence {
-    fn windows(&mut self) -> impl Iterator<Item = (&mut RouteWindow, Duration)> {
-        self.windows.iter_mut().zip(HALF_LIVES)
-    }
-
-    /// Returns the share of bad outcomes that the peers of an upstream show, and counts one of its own.
-    fn expect_and_count(
-        &mut self,
-        upstream: usize,
-        question: Question,
-        healthy: f64,
-        bad: bool,
-        now: Moment,
-    ) -> f64 {
-        let mut expected = healthy;
-        for (window, half_life) in self.windows() {
-            window.refresh(upstream, half_life, now);
-            expected = expected.max(window.peers(upstream, question).expected(healthy));
-            window.count(upstream, question, bad);
-        }
-        expected
-    }
-
-    /// Returns how much an upstream's share exceeds that of its peers, by each half-life.
-    fn excess(
-        &mut self,
-        upstream: usize,
-        question: Question,
-        healthy: f64,
-        now: Moment,
-    ) -> [f64; HALF_LIVES.len()] {
-        let mut excess = [0.0; HALF_LIVES.len()];
-        for ((window, half_life), excess) in self.windows().zip(&mut excess) {
-            window.refresh(upstream, half_life, now);
-            let expected = window.peers(upstream, question).expected(healthy);
-            let own = *question(&mut window.by_upstream[upstream]);
-            *excess = own.excess_over(expected);
-        }
-        excess
-    }
-}
-
-/// Failures and successes since the failure test last stood at zero.
-#[derive(Clone, Copy, Debug, Default)]
-struct SourceCount {
-    failures: u32,
-    successes: u32,
-}
-
-/// What an upstream has shown since one of its statistics last stood at zero, and what had been seen
-/// in all by then. Exactly the time in which the evidence against it came together, for its peers to
-/// be compared over.
-#[derive(Clone, Copy, Debug, Default)]
-struct Excursion {
-    before: ShareTally,
-    own: ShareTally,
-}
-
-impl Excursion {
-    /// Counts an outcome; `fresh` tells that the statistic stood at zero before it.
-    fn count(&mut self, bad: bool, fresh: bool, all: ShareTally) {
-        if fresh {
-            *self = Self { before: all, own: ShareTally::default() };
-        }
-        self.own.count(bad);
-    }
-
-    /// Returns what the peers have shown in the same time.
-    fn peers(&self, all: ShareTally) -> ShareTally {
-        all.without(self.before).without(self.own)
-    }
-
-    fn excess(&self, all: ShareTally, healthy: f64) -> f64 {
-        let peers = self.peers(all);
-        let expected = (peers.bad / (peers.all + PRIOR_PEERS)).max(healthy);
-        self.own.excess_over(expected)
-    }
-}
-
-#[derive(Debug, Default)]
-struct UpstreamEvidence {
-    failing: [f64; FAILURE_ALTERNATIVES.len()],
-    late: f64,
-    failing_since: Excursion,
-    late_since: Excursion,
-    entries: BTreeMap<u32, SourceCount>,
-    domains: BTreeMap<u32, SourceCount>,
-}
-
-impl UpstreamEvidence {
-    fn greatest_failing(&self) -> f64 {
-        self.failing.iter().copied().fold(0.0, f64::max)
-    }
-
-    fn count_source(&mut self, source: &EvidenceSource, failed: bool) {
-        let entry = self.entries.entry(source.entry).or_default();
-        entry.count(failed);
-        self.domains.entry(source.domain).or_default().count(failed);
-    }
-
-    fn forget_sources(&mut self) {
-        self.entries.clear();
-        self.domains.clear();
-    }
-}
-
-impl SourceCount {
-    fn count(&mut self, failed: bool) {
-        if failed {
-            self.failures += 1;
-        } else {
-            self.successes += 1;
-        }
-    }
-}
-
-/// Returns the source with the most failures, if the others fare so much better there that its path
-/// must be at fault.
-fn lone_source(counts: &BTreeMap<u32, SourceCount>) -> Option<u32> {
-    let (&source, own) = counts.iter().max_by_key(|(_, count)| count.failures)?;
-    if own.failures < PATH_FAILURES {
-        return None;
-    }
-    let others = counts.iter().filter(|(other, _)| **other != source);
-    let (mut calls, mut failures) = (0, 0);
-    for (_, count) in others {
-        calls += count.failures + count.successes;
-        failures += count.failures;
-    }
-    let share = f64::from(own.failures) / f64::from(own.failures + own.successes);
-    let expected = f64::from(calls) * share;
-    let proved = expected >= PATH_PROOF && f64::from(failures) < expected * PATH_PART;
-    proved.then_some(source)
-}
-
 /// The tests of all upstreams of one service.
 #[derive(Debug)]
 pub struct PeerDetector {
--- a/crates/decide/src/placer.rs
+++ b/crates/decide/src/placer.rs
@@ -3,7 +3,7 @@
 //! The placer is a value that turns events into actions. Whoever drives it carries the actions out:
 //! it sends the grants and refusals, and writes a log line for each decision.
 //!
-//! - `target`: the upstreams with their counts, limits and ramps;
+//! - `target` and `table`: the upstreams with their counts, limits and ramps;
 //! - `queue`: the calls that wait, by caller and deadline;
 //! - `grants`: what is out, of this epoch and of earlier ones;
 //! - `placing`: which call gets which slot, and when;
@@ -19,6 +19,7 @@
 mod queue;
 mod spread;
 mod standing;
+mod table;
 mod target;
 
 pub use action::{AskId, EjectReason, GrantReason, HeldGrant, PlacerAction, ReturnReason};
@@ -44,7 +45,8 @@
 use rand_pcg::Pcg64Mcg;
 use spread::{DomainCosts, PathFaults};
 use std::{collections::BTreeMap, time::Duration};
-use target::{AnnounceChange, Standing, TargetTable};
+use table::{AnnounceChange, TargetTable};
+use target::Standing;
 
 /// For how long a new placer waits for the counts of entries that do not answer. Several round trips
 /// between failure domains; far less than a call's usual deadline.
--- a/crates/decide/src/placer/placing.rs
+++ b/crates/decide/src/placer/placing.rs
@@ -12,7 +12,8 @@
     AskId, GrantReason, PlacerAction, ServicePlacer,
     grants::OwnGrant,
     queue::WaitingAsk,
-    target::{FreeKey, Standing, TargetTable},
+    table::TargetTable,
+    target::{FreeKey, Standing},
 };
 use crate::hedge::{HedgeRoom, has_room};
 use model::{
