--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -216,9 +216,7 @@
             DriverAsk::Claim(claim) => GroupRequest::Command(StateCommand::Claim { view, claim }),
             DriverAsk::Close(close) => GroupRequest::Command(StateCommand::Close { view, close }),
             DriverAsk::Snapshot => {
-                let index = runner.snapshot()?;
-                reply(answer, index.map(GroupAnswer::Confirmed));
-                return Ok(());
+                return runner.begin_cut(Some(answer));
             }
         };
         self.next_request += 1;
@@ -245,6 +243,7 @@
         let now = self.now();
         for runner in self.groups.values_mut() {
             runner.tick(now)?;
+            runner.end_cut()?;
             runner.cut_when_long()?;
         }
         if Instant::now() >= self.forget_at {
@@ -268,15 +267,23 @@
     }
 
     fn flush(&mut self) -> Result<(), ControlError> {
+        let mut ends = Vec::new();
         for runner in self.groups.values_mut() {
             let now = Moment::ZERO + self.origin.elapsed();
-            for (number, end) in runner.flush(now)? {
-                if let Some(answer) = self.waiting.remove(&number) {
-                    reply(answer, end);
-                }
+            ends.append(&mut runner.flush(now)?);
+        }
+        // Whoever gets an answer finds what it says in the views.
+        self.publish()?;
+        for (number, end) in ends {
+            if let Some(answer) = self.waiting.remove(&number) {
+                reply(answer, end);
             }
         }
-        self.publish()
+        // The log is written anew by now.
+        for (answer, end) in self.groups.values_mut().flat_map(GroupRunner::take_cut_ends) {
+            reply(answer, end);
+        }
+        Ok(())
     }
 
     fn publish(&mut self) -> Result<(), ControlError> {
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -188,6 +188,7 @@
     fn new_vm(&self, number: usize) -> Result<DeployedVm, DeploymentError> {
         let folder = (number < self.replicas).then(TempFolder::open).transpose();
         let folder = folder.context(SystemSnafu)?;
+        let founders = (0..self.replicas).map(|number| self.member(number)).collect();
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let secret = SharedSecret::from_bytes(SECRET.as_bytes()).expect("it is long enough");
         let settings = DaemonSettings {
@@ -200,6 +201,7 @@
             fleet_listen: any,
             seeds: Vec::new(),
             data: folder.as_ref().map(|folder| folder.path().to_owned()),
+            founders,
             fleet_secret: secret.clone(),
             operator_secret: secret.clone(),
             announce_secret: secret,
@@ -373,7 +375,8 @@
         let status = self.page(number, "/status").await?;
         let known = upstreams.as_array().map_or(0, Vec::len) == self.upstreams.len();
         let members = status["members"] == self.vms.len();
-        Ok(known && members && status["in-force"] == status["members"] && status["accepted"] == 1)
+        let in_force = status["in-force"] == status["members"] && status["accepted"] == 1;
+        Ok(known && members && in_force && are_led(&status["groups"]))
     }
 
     /// Returns how often each key ran, over all upstreams.
@@ -393,3 +396,9 @@
         self.running().map(entry).collect()
     }
 }
+
+/// Tells whether each group that a VM replicates has a leader. A founder that is lost before its
+/// group was founded holds the founding up until it is back, which no test here is about.
+fn are_led(groups: &serde_json::Value) -> bool {
+    groups.as_array().is_some_and(|rows| rows.iter().all(|row| !row["leader"].is_null()))
+}
