control: a removed VM can be added again; hand-over goes on after a group that cannot

Cause: a VM that knew of its removal kept silent, so a later leader had never heard its identity and refused to add it. hand_over stopped at the first group without a successor. Change: a replica without a part in the group shows itself as an unfounded one does. hand_over asks each group and returns the first fault. Test: regressions::a_removed_vm_can_be_added_again_under_another_leader, seen to fail without the change.

--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -267,14 +267,18 @@
     ///
     /// # Errors
     ///
-    /// Fails when there is no such follower or it did not take over in time.
+    /// Fails when there is no such follower for a group or it did not take over in time. The other
+    /// groups are handed over all the same.
     pub async fn hand_over(&self, within: Duration) -> Result<(), ReplicaFault> {
         let until = Instant::now() + within;
+        let mut outcome = Ok(());
         for row in self.rows() {
             let left = until.saturating_duration_since(Instant::now());
-            self.ask(row.group, DriverAsk::Request(GroupRequest::HandOver), left).await?;
+            let ask = DriverAsk::Request(GroupRequest::HandOver);
+            let end = self.ask(row.group, ask, left).await;
+            outcome = outcome.and(end.map(drop));
         }
-        Ok(())
+        outcome
     }
 
     /// Lists the differences from a number to the present one. `None` where the history does not
--- a/crates/control/src/replica/founding.rs
+++ b/crates/control/src/replica/founding.rs
@@ -11,12 +11,14 @@
 //!   others have voted in: its first self may have led such a term, and its entries may still be on
 //!   their way. Two records of one term could not be told from each other.
 
+use std::collections::BTreeSet;
+
 use crate::replica::{
     core::{HeardHello, OutMessage, ReplicaCore, Sender},
     entry::{EntryBody, ReplicaSeat, SeatList},
     log::LogWrite,
     message::{HelloMessage, ReplicaMessage},
-    timing::{HELLO_FRESH, HELLO_PERIOD},
+    timing::{ELECTION_MAX, HELLO_FRESH, HELLO_PERIOD},
 };
 use model::{moment::Moment, names::MemberName};
 use xxhash_rust::xxh3::xxh3_64;
@@ -31,13 +33,30 @@
         if self.is_founded() {
             return;
         }
-        let message = ReplicaMessage::Hello(self.hello(self.nonce, false));
-        for to in self.founders.iter().filter(|founder| **founder != self.member) {
-            let message = message.clone();
-            self.output.early.push(OutMessage { to: to.clone(), id: None, message });
+        self.send_hellos();
+    }
+
+    /// Shows itself to the group while it has no part in it: one that was removed, with its old log.
+    /// Without that no leader would know its identity, and it could not be added again.
+    pub(crate) fn tick_outside(&mut self, now: Moment) {
+        let alone = now.since(self.heard) > ELECTION_MAX;
+        if alone && now >= self.hello_at {
+            self.hello_at = now + HELLO_PERIOD;
+            self.send_hellos();
         }
     }
 
+    fn send_hellos(&mut self) {
+        let message = ReplicaMessage::Hello(self.hello(self.nonce, false));
+        let seated = self.seats().seats.iter().map(|seat| &seat.member);
+        let others: BTreeSet<&MemberName> = self.founders.iter().chain(seated).collect();
+        let others = others.into_iter().filter(|other| **other != self.member);
+        let hello =
+            |to: &MemberName| OutMessage { to: to.clone(), id: None, message: message.clone() };
+        let hellos: Vec<OutMessage> = others.map(hello).collect();
+        self.output.early.extend(hellos);
+    }
+
     fn hello(&self, nonce: u64, answer: bool) -> HelloMessage {
         let founders = founders_digest(&self.founders);
         HelloMessage { nonce, founders, term: self.term, founded: self.is_founded(), answer }
--- a/crates/control/src/replica/mod.rs
+++ b/crates/control/src/replica/mod.rs
@@ -12,3 +12,4 @@
 mod leading;
 mod progress;
 mod seating;
+mod views;
--- a/crates/control/tests/regressions.rs
+++ b/crates/control/tests/regressions.rs
@@ -126,3 +126,28 @@
     let length = fs::metadata(vms.path("vm-a").join("group-0/log")).unwrap().len();
     expect_that!(length, le(3 * 1024 * 1024));
 }
+
+// An operator could not add a VM again that had been removed: "has not been heard".
+// It kept silent, as one that has no part in the group, and a later leader had never heard it.
+#[gtest]
+fn a_removed_vm_can_be_added_again_under_another_leader() {
+    let mut world = World::open(11, GroupNumber::CONFIG);
+    world.crash_percent = 0;
+    world.settle(3_000);
+    // A leader that removes itself knows of it, and asks nobody for votes any more.
+    let removed = world.leader().unwrap();
+    let member = world.nodes[removed].member.clone();
+    let change = ReplicaChange::Remove { member: member.clone() };
+    world.call(removed, GroupRequest::Change(change), 1_000);
+    world.settle(3_000);
+    expect_that!(world.replica(removed).row().voters.len(), eq(2));
+    for index in (0..3).filter(|&index| index != removed) {
+        world.crash(index);
+        world.start(index);
+    }
+    world.settle(4_000);
+    let leader = world.leader().unwrap();
+    let change = ReplicaChange::Add { member: member.clone() };
+    world.call(leader, GroupRequest::Change(change), 3_000).unwrap().unwrap();
+    expect_that!(world.replica(leader).row().voters, contains(eq(&member)));
+}
