fleet: a poisonous request is refused also by an entry that is alone

Cause: an entry without a placer in reach placed by its own share and looked at no notice, so a request that was refused fleet-wide went on crashing upstreams through each VM that was cut off.

Change: the fallback looks for the notice of the request first.

Test: row_23_a_poisonous_request_is_refused_also_without_a_placer; it fails without the change.

--- a/crates/fleet/src/driver/fallback.rs
+++ b/crates/fleet/src/driver/fallback.rs
@@ -3,12 +3,12 @@
 use std::collections::btree_map::Entry;
 
 use super::FleetDriver;
-use crate::fact::{FleetFact, NoticeSubject, UpstreamFact};
+use crate::fact::{FactKey, FleetFact, NoticeSubject, UpstreamFact};
 use decide::fallback::{FallbackPlacer, FallbackSettings};
 use log::info;
 use model::{
     announcement::UpstreamAnnouncement,
-    call::CallRefusal,
+    call::{CallRefusal, RefusalReason},
     moment::Moment,
     names::{ServiceName, UpstreamName},
     numbers::PlacerEpoch,
@@ -29,6 +29,9 @@
     /// Grants a slot of this entry's own share.
     pub(crate) fn place_alone(&mut self, ask: &SlotAsk) -> Result<SlotGrant, CallRefusal> {
         let now = self.now();
+        if let Some(refusal) = self.poisonous(ask, now) {
+            return Err(refusal);
+        }
         let held = self.shared.book().held(&ask.service, now);
         let view = self.shared.view.load_full();
         let entries: Vec<_> = view.reachable().map(|(member, _)| member.clone()).collect();
@@ -52,6 +55,21 @@
         placed
     }
 
+    /// Refuses a request that the service's placer had refused fleet-wide. Without a placer in reach
+    /// it would go on crashing one upstream after the other through each VM that is cut off.
+    fn poisonous(&self, ask: &SlotAsk, now: Moment) -> Option<CallRefusal> {
+        let (service, fingerprint) = (ask.service.clone(), ask.fingerprint);
+        let key = FactKey::Notice(NoticeSubject::Poison { service, fingerprint });
+        let FleetFact::Notice(notice) = self.gossip.store().get(&key)? else { return None };
+        let left = self.gossip.store().left(&key, now);
+        let refused = notice.holds && !left.is_zero();
+        refused.then(|| {
+            info!(call:% = ask.call, service:% = ask.service, reason = "poisonous"; "refused");
+            let retry_after_ms = u32::try_from(left.as_millis()).unwrap_or(u32::MAX);
+            CallRefusal::passing(RefusalReason::Poisonous, retry_after_ms)
+        })
+    }
+
     fn fallback(&mut self, service: &ServiceName, now: Moment) -> &mut FallbackPlacer {
         let rule = self.shared.config.load().service(service).cloned();
         let floor_slots = rule.map_or(0, |rule| rule.floor_slots);
--- a/crates/fleet/tests/nodes.rs
+++ b/crates/fleet/tests/nodes.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use fleet::handle::FleetNode;
 use googletest::prelude::*;
@@ -15,6 +19,7 @@
     patch::{ConfigChange, ConfigPatch, PatchId},
     ports::{AnnouncementPort, LedgerPort, OperatorPort, SlotPort},
     secret::SharedSecret,
+    slot::{RequestFingerprint, SlotAsk, SlotGrant, SlotSettle},
 };
 use support::{Nodes, announcement, ask, service, settings, settle, until, upstream};
 use tokio::{
@@ -211,6 +216,49 @@
     until("there is room again", || async { entry.ask(ask(9, 5_000)).await.is_ok() }).await;
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_23_a_poisonous_request_is_refused_also_without_a_placer() {
+    // One request crashes two upstreams and is refused fleet-wide. Its caller sends it again, through
+    // a VM that has lost its way to the placer and places by its own share: refused there as well.
+    let nodes = Nodes::spawn(2).await;
+    serve_one_upstream(&nodes).await;
+    let second = announcement("cluebook-1", UpstreamState::Serving, 1);
+    nodes.nodes[0].announce(UpstreamAnnouncement { lease_ms: 600_000, ..second });
+    let placer = nodes.placer().await;
+    let entry = &nodes.nodes[(placer + 1) % 2];
+    until("both upstreams are known", || async { entry.upstreams().await.len() == 2 }).await;
+    let poison = |call| SlotAsk { fingerprint: RequestFingerprint(7), ..ask(call, 2_000) };
+    let mut avoid = Vec::new();
+    for call in 1..=2 {
+        let asked = SlotAsk { avoid: avoid.clone(), ..poison(call) };
+        let granted = entry.ask(asked).await.expect("it is not known yet");
+        avoid.push(granted.upstream.clone());
+        let crash = settle(&granted, OutcomeClass::Crash);
+        entry.settle(SlotSettle { fingerprint: RequestFingerprint(7), ..crash });
+        until("the crash is known", || async { busy(entry).await == 0 }).await;
+    }
+    let reason = |answer: Result<SlotGrant, CallRefusal>| answer.err().map(|one| one.reason);
+    let calls = AtomicU64::new(10);
+    let next = || poison(calls.fetch_add(1, Ordering::Relaxed));
+    until("it is refused fleet-wide", || async {
+        let answer = entry.ask(next()).await;
+        if let Ok(granted) = &answer {
+            entry.settle(settle(granted, OutcomeClass::Unused));
+        }
+        reason(answer) == Some(RefusalReason::Poisonous)
+    })
+    .await;
+    // What the placer says later comes with or after its notice: once it is known, the notice is.
+    let later = announcement("cluebook-2", UpstreamState::Serving, 1);
+    nodes.nodes[placer].announce(UpstreamAnnouncement { lease_ms: 600_000, ..later });
+    until("the later word is known", || async { entry.upstreams().await.len() == 3 }).await;
+    entry.cut_path_to(nodes.nodes[placer].address()).await;
+    expect_that!(reason(entry.ask(next()).await), some(eq(RefusalReason::Poisonous)));
+    let harmless = entry.ask(ask(900, 2_000)).await;
+    expect_that!(reason(harmless), not(eq(Some(RefusalReason::Poisonous))));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn row_2_a_claim_through_any_vm_reaches_the_leader_and_is_one_claim() {
