--- a/crates/fleet/src/driver/gossip.rs
+++ b/crates/fleet/src/driver/gossip.rs
@@ -144,7 +144,10 @@
                 FactKey::Upstream(service, upstream) => {
                     self.directory.forget(&service, &upstream);
                 }
-                FactKey::Member(member) => self.lose_entry(&member, now),
+                FactKey::Member(member) => {
+                    self.lives.remove(&member);
+                    self.lose_entry(&member, now);
+                }
                 FactKey::Verdict(..) | FactKey::Duty(..) | FactKey::Notice(_) => (),
             }
         }
@@ -250,12 +253,10 @@
         self.follow(now);
     }
 
-    /// Takes a placer's notice. One of an epoch that is over is not obeyed: its placer has lost the
-    /// duty, perhaps without knowing.
+    /// Takes a placer's notice, if that placer is obeyed.
     fn take_notice(&mut self, notice: &PlacerNotice, now: Moment) {
         let service = notice.subject.service();
-        let obeyed = self.shared.book().obeyed(service, 0).map(|claim| claim.epoch);
-        if obeyed.is_some_and(|epoch| notice.epoch < epoch) {
+        if !notice.is_obeyed(self.shared.book().obeyed(service, 0)) {
             return info!(service:%, epoch:% = notice.epoch, reason = "old epoch"; "notice refused");
         }
         let until = now + Duration::from_millis(u64::from(notice.left_ms));
--- a/crates/fleet/tests/nodes.rs
+++ b/crates/fleet/tests/nodes.rs
@@ -10,9 +10,10 @@
     announcement::UpstreamState,
     call::{CallRefusal, OutcomeClass, RefusalReason},
     config::ServiceRule,
-    numbers::ConfigNumber,
-    patch::ConfigChange,
-    ports::{AnnouncementPort, OperatorPort, SlotPort},
+    ledger::{BodyDigest, CallKey, ClaimAnswer, KeyClaim, KeyClose, RunEnd},
+    numbers::{AttemptNumber, ConfigNumber, GroupNumber},
+    patch::{ConfigChange, ConfigPatch, PatchId},
+    ports::{AnnouncementPort, LedgerPort, OperatorPort, SlotPort},
     secret::SharedSecret,
 };
 use support::{Nodes, announcement, ask, service, settings, settle, until, upstream};
@@ -155,6 +156,140 @@
     until("it is free again", || async { busy(&entry).await == 0 }).await;
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_16_an_entry_that_does_not_reach_its_placer_asks_through_a_relay() {
+    // One entry cannot open a connection to the placer, which reaches it and is heard by all others.
+    // The placer keeps its duty, and the entry obeys that same placer: its ask and the end of its
+    // grant go by one more VM.
+    let nodes = Nodes::spawn(4).await;
+    serve_one_upstream(&nodes).await;
+    let placer = nodes.placer().await;
+    let entry = &nodes.nodes[(placer + 1) % 4];
+    entry.cut_path_to(nodes.nodes[placer].address()).await;
+    for call in 1..20 {
+        let granted = entry.ask(ask(call, 5_000)).await.expect("a relay reaches the placer");
+        expect_that!(&granted.id.granter, eq(nodes.nodes[placer].member()));
+        entry.settle(settle(&granted, OutcomeClass::Success));
+    }
+    until("all slots are free", || async { busy(&nodes.nodes[placer]).await == 0 }).await;
+    expect_that!(nodes.placer().await, eq(placer));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_16_an_entry_alone_places_by_its_own_share_and_ejects_nobody() {
+    // The entry reaches neither the placer nor a relay. It goes on with its own share of the slots,
+    // and its outcomes eject nobody; each refusal is final at once and says when to come back.
+    let nodes = Nodes::spawn(2).await;
+    serve_one_upstream(&nodes).await;
+    let placer = nodes.placer().await;
+    let entry = &nodes.nodes[(placer + 1) % 2];
+    entry.cut_path_to(nodes.nodes[placer].address()).await;
+    let mut held = Vec::new();
+    let mut refused = None;
+    for call in 1..=4 {
+        match entry.ask(ask(call, 5_000)).await {
+            Ok(granted) => held.push(granted),
+            Err(refusal) => refused = Some(refusal),
+        }
+    }
+    expect_that!(held.len(), all![ge(1), le(3)]);
+    expect_that!(refused.is_some_and(|refusal| refusal.retry_after_ms > 0), eq(true));
+    for granted in &held {
+        entry.settle(settle(granted, OutcomeClass::Timeout));
+    }
+    until("there is room again", || async { entry.ask(ask(9, 5_000)).await.is_ok() }).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_2_a_claim_through_any_vm_reaches_the_leader_and_is_one_claim() {
+    // A VM without replicas claims, loses the answer and claims again through another: one claim,
+    // the same attempt. Its close is durable for both.
+    let nodes = Nodes::spawn(3).await;
+    nodes.configure().await;
+    let key = CallKey::from_parts(now_millis(), [7; 10]);
+    let claim = KeyClaim {
+        key,
+        service: service("cluebook"),
+        digest: BodyDigest([1; 32]),
+        claimant: 11,
+        within_ms: 5_000,
+    };
+    let first = nodes.nodes[1].claim(claim.clone()).await;
+    let again = nodes.nodes[2].claim(claim.clone()).await;
+    expect_that!(first, ok(eq(&ClaimAnswer::Run { attempt: AttemptNumber(1) })));
+    expect_that!(again, eq(&first));
+    let end = RunEnd::Done { answer: None };
+    let close = KeyClose { key, attempt: AttemptNumber(1), end };
+    expect_that!(nodes.nodes[2].close(close).await, ok(anything()));
+    let resent = nodes.nodes[1].claim(KeyClaim { claimant: 12, ..claim }).await;
+    expect_that!(resent, ok(eq(&ClaimAnswer::Done { answer: None })));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn row_5_a_claim_without_a_leader_is_refused_within_its_time() {
+    let nodes = Nodes::spawn(2).await;
+    nodes.configure().await;
+    nodes.nodes[0].kill();
+    let claim = KeyClaim {
+        key: CallKey::from_parts(now_millis(), [8; 10]),
+        service: service("cluebook"),
+        digest: BodyDigest([1; 32]),
+        claimant: 11,
+        within_ms: 400,
+    };
+    let started = std::time::Instant::now();
+    expect_that!(nodes.nodes[1].claim(claim).await.is_err(), eq(true));
+    expect_that!(started.elapsed(), lt(Duration::from_secs(3)));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn changes_follow_the_leader_when_it_is_lost() {
+    // Three replicas talk through the fleet. The leader dies; a VM without a replica goes on
+    // submitting, and its patch is accepted by the next leader and in force on all that live.
+    let nodes = Nodes::spawn_with(4, 3).await;
+    nodes.configure().await;
+    let leader = leader_of(&nodes.nodes[..3]).await;
+    nodes.nodes[leader].kill();
+    let rule = ServiceRule { floor_slots: 3, ..ServiceRule::default() };
+    let patch = ConfigPatch {
+        id: PatchId(uuid::Uuid::now_v7()),
+        base: ConfigNumber(1),
+        author: "test".to_owned(),
+        changes: vec![ConfigChange::PutService { name: service("cluebook"), rule }],
+    };
+    until("the next leader accepts it", || async {
+        matches!(nodes.nodes[3].submit(patch.clone()).await, Ok(Ok(ConfigNumber(2))))
+    })
+    .await;
+    for (_, node) in nodes.nodes.iter().enumerate().filter(|(number, _)| *number != leader) {
+        until("it is in force", || async { node.config().number() == ConfigNumber(2) }).await;
+    }
+    let other = (0..3).find(|&number| number != leader).expect("two are left");
+    expect_that!(leader_of(&nodes.nodes[other..=other]).await, not(eq(leader)));
+}
+
+/// Returns the number of the VM that leads the configuration's group, as some VM sees it.
+async fn leader_of(nodes: &[FleetNode]) -> usize {
+    for node in nodes {
+        let report = node.status().await;
+        let row = report.groups.iter().find(|row| row.group == GroupNumber::CONFIG);
+        if let Some(leader) = row.and_then(|row| row.leader.clone()) {
+            return leader.as_str().trim_start_matches("vm-").parse().expect("a number");
+        }
+    }
+    panic!("no VM knows a leader");
+}
+
+fn now_millis() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    u64::try_from(now.expect("after 1970").as_millis()).expect("before the year 500 million")
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_lost_placer_is_replaced_and_calls_go_on_meanwhile() {
