daemon: the exit code of a failed control state is held by a test

Cause: the code was documented and held by nothing. Change: a test of code and text. That a failed sync reaches it in a running process is not tested: the daemon takes no other disk. Conclusion: tests of the daemon pass (19).

--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -7,7 +7,7 @@
 };
 
 use daemon::{
-    exit::{EXIT_CUT, EXIT_START},
+    exit::{EXIT_CONTROL, EXIT_CUT, EXIT_START},
     node::DaemonNode,
     process::{ProcessError, finish},
     settings::DaemonSettings,
@@ -58,6 +58,14 @@
     expect_that!(code(in_time), eq(0));
 }
 
+#[gtest]
+fn a_failed_control_state_has_a_code_of_its_own_and_its_reason() {
+    let reason = std::sync::Arc::new(control::fault::ControlError::NoFounders);
+    let error = ProcessError::Control { reason: reason.clone() };
+    expect_that!(error.exit_code(), eq(EXIT_CONTROL));
+    expect_that!(error.to_string(), contains_substring(reason.to_string()));
+}
+
 /// One daemon with a control state of its own.
 struct Daemon {
     node: DaemonNode,
