--- a/crates/fleet/src/rumour.rs
+++ b/crates/fleet/src/rumour.rs
@@ -4,7 +4,8 @@
 //! changes. Harm prevented: telling each peer for as long as log n rounds sends a change 12 times
 //! from each VM at that size. Reason for the limits: a peer answers which facts it knew already, and
 //! a fact that [`UNNEEDED_LIMIT`] peers knew is told no more; that ends a rumour after a number of
-//! tellings that does not grow with the fleet. Who was missed learns it by repair.
+//! tellings that does not grow with the fleet. Who was missed is offered the fact a little later by
+//! those who watch it.
 
 use std::collections::BTreeMap;
 
