--- a/crates/control/src/disk/files.rs
+++ b/crates/control/src/disk/files.rs
@@ -12,6 +12,9 @@
 };
 use snafu::ResultExt;
 
+/// How the name of a file ends before it takes its place.
+pub(crate) const UNFINISHED: &str = "new";
+
 /// Adds what was tried to a result.
 pub(crate) fn doing<T>(
     result: io::Result<T>,
@@ -68,5 +71,5 @@
 
 /// Returns the name under which a file is written before it takes its place.
 pub(crate) fn beside(path: &Path) -> PathBuf {
-    path.with_extension("new")
+    path.with_extension(UNFINISHED)
 }
--- a/crates/control/src/disk/group_file.rs
+++ b/crates/control/src/disk/group_file.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     disk::{
-        files::{doing, replace_file, stored},
+        files::{UNFINISHED, doing, replace_file, stored},
         frame::{
             DamagePlace, PREAMBLE, check_preamble, damage, frame_at, preamble, put_frame,
             read_frames,
@@ -84,6 +84,7 @@
         folder: &Path,
         group: GroupNumber,
     ) -> Result<(Self, ReplicaId, ReplicaMemory), ControlError> {
+        remove_unfinished(folder);
         let path = folder.join("log");
         if !doing(path.try_exists(), "reading", &path)? {
             let store = Self::create(folder, group).map_err(|fault| no_room(fault, &path))?;
@@ -151,13 +152,15 @@
         snapshot_path(&self.folder, index)
     }
 
-    /// Removes snapshots that the log does not begin behind. One that stays costs only room.
-    fn remove_other_snapshots(&self, kept: u64) {
+    /// Removes earlier snapshots. One that stays costs only room; one that another thread is still
+    /// writing is left to it.
+    fn remove_earlier_snapshots(&self, kept: u64) {
         let Ok(entries) = fs::read_dir(&self.folder) else { return };
-        let kept = self.snapshot_path(kept);
         for path in entries.flatten().map(|entry| entry.path()) {
             let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
-            if name.starts_with("snapshot-") && path != kept {
+            let index: Option<u64> =
+                name.strip_prefix("snapshot-").and_then(|index| index.parse().ok());
+            if index.is_some_and(|index| index < kept) {
                 let _ = fs::remove_file(path);
             }
         }
@@ -203,7 +206,7 @@
         }
         let index = Some(image.index);
         *self = Self::write_file(&self.folder, self.group, self.id, index, writes)?;
-        self.remove_other_snapshots(image.index);
+        self.remove_earlier_snapshots(image.index);
         Ok(())
     }
 
@@ -303,6 +306,15 @@
     }
 }
 
+/// Removes files that a crash left before they took their place.
+fn remove_unfinished(folder: &Path) {
+    let Ok(entries) = fs::read_dir(folder) else { return };
+    let paths = entries.flatten().map(|entry| entry.path());
+    for path in paths.filter(|path| path.extension().is_some_and(|end| end == UNFINISHED)) {
+        let _ = fs::remove_file(path);
+    }
+}
+
 fn snapshot_path(folder: &Path, index: u64) -> PathBuf {
     folder.join(format!("snapshot-{index}"))
 }
--- a/crates/control/tests/disks.rs
+++ b/crates/control/tests/disks.rs
@@ -3,17 +3,26 @@
 mod vm;
 mod world;
 
-use std::{fs, path::Path, sync::atomic::Ordering};
+use std::{
+    fs,
+    path::Path,
+    sync::{Arc, atomic::Ordering},
+};
 
 use control::{
-    disk::frame::{PREAMBLE, preamble, put_frame, read_frames},
+    disk::{
+        folder::DataFolder,
+        frame::{PREAMBLE, preamble, put_frame, read_frames},
+        store::StoreOpener,
+    },
     fault::ControlError,
     handle::ControlHandle,
+    replica::entry::{SeatList, SnapshotImage},
 };
 use googletest::prelude::*;
 use model::numbers::{ConfigNumber, GroupNumber};
 use proptest::prelude::{ProptestConfig, any, proptest};
-use vm::{TestVms, WITHIN, open_faulty, settings, wait_until};
+use vm::{TempFolder, TestVms, WITHIN, open_faulty, settings, wait_until};
 use world::asks::patch;
 
 const THREE: [&str; 3] = ["vm-a", "vm-b", "vm-c"];
@@ -182,3 +191,30 @@
     fs::write(&snapshot, &bytes).unwrap();
     expect_that!(open().is_ok(), eq(true));
 }
+
+// The replicas of a VM would have ended with "rename failed".
+// A follower stores a snapshot of its own while it gets a later one from its leader. What the other
+// thread is writing is left alone; what a crash left unfinished goes at the next start.
+#[gtest]
+fn a_snapshot_that_is_being_written_survives_a_later_one() {
+    let folder = TempFolder::open();
+    let member = "vm-a".parse().unwrap();
+    let mut data = DataFolder::open(&folder.0, &member).unwrap();
+    let mut opened = data.open_group(GroupNumber::CONFIG).unwrap();
+    let image = |index| SnapshotImage {
+        index,
+        term: 1,
+        seats: SeatList::default(),
+        bytes: Arc::from(vec![1; 10]),
+    };
+    let unfinished = folder.0.join("group-0/snapshot-5.new");
+    fs::write(&unfinished, b"half").unwrap();
+    opened.store.snapshot_writer()(&image(4)).unwrap();
+    opened.store.rewrite(&image(9), &[]).unwrap();
+    expect_true!(unfinished.exists());
+    expect_false!(folder.0.join("group-0/snapshot-4").exists());
+    drop(opened);
+    let again = data.open_group(GroupNumber::CONFIG).unwrap();
+    expect_false!(unfinished.exists());
+    expect_that!(again.memory.log.base_index(), eq(9));
+}
