benches: control and decide print the capacity page's slopes

Cause: the page's arithmetic needs a claim's time and bytes, a change's time, a kept key's memory, a restart and a placement.

Change: one `slope` line for each.

--- a/crates/control/benches/bounds_control.rs
+++ b/crates/control/benches/bounds_control.rs
@@ -266,6 +266,11 @@
         println!("{name:<58} {figure:>22}");
     }
 
+    /// Prints what docs/CAPACITY.md is worked out from.
+    fn slope(&self, name: &str, value: f64, unit: &str) {
+        println!("slope control.{name} {value} {unit}");
+    }
+
     fn at_most(&mut self, name: &str, figure: f64, bound: f64) {
         self.bound(name, figure, bound, figure <= bound, "at most");
     }
@@ -311,6 +316,8 @@
     let counted = group.counters.since(before);
     let rate = ratio(CLAIMS, 1) / took.as_secs_f64();
     table.show("claims a second, one group of three, 512 at once", &format!("{rate:.0}"));
+    table.slope("claim-seconds", 1.0 / rate, "s");
+    table.slope("claim-bytes", ratio(counted.bytes, CLAIMS), "B");
     let per_sync = ratio(CLAIMS * 3, counted.syncs);
     table.at_least("claims a sync", per_sync, 20.0);
     table.at_most("packets a claim", ratio(counted.packets, CLAIMS), 0.5);
@@ -423,6 +430,7 @@
         );
         times.push((time, bytes));
     }
+    table.slope("change-us", times[3].0.as_secs_f64() * 1e6, "us");
     let growth = times[3].0.as_secs_f64() / times[0].0.as_secs_f64();
     table.at_most("time a change, 93,000 routes against 100", growth, 8.0);
     table.at_most("bytes a change, 93,000 routes against 100", ratio(times[3].1, times[0].1), 1.2);
@@ -476,6 +484,7 @@
     let each = started.elapsed().as_secs_f64() * 1e6 / ratio(KEYS, 1);
     let bytes = ratio(resident().saturating_sub(before), KEYS);
     table.show("one claim in the state, 500,000 keys", &format!("{each:.2} us"));
+    table.slope("key-memory", bytes, "B");
     table.at_most("bytes of memory a kept key", bytes, 400.0);
     let started = Instant::now();
     let image = state.encode();
@@ -500,6 +509,7 @@
             table.show(&format!("restart after {changes} changes"), &figure);
             times.push(took.as_secs_f64());
         }
+        table.slope("restart-ms", times[2] * 1_000.0, "ms");
         // The log is cut by snapshots, so a restart does not grow with all that ever was.
         table.at_most("restart, 100,000 changes against 10,000", times[2] / times[1], 10.0);
     });
--- a/crates/decide/benches/bounds_decide.rs
+++ b/crates/decide/benches/bounds_decide.rs
@@ -171,6 +171,8 @@
         say(&format!("{upstreams:>5} upstreams, 1 service      {:>9.0} {:>12.2}", row.0, row.1));
         rows.push(row);
     }
+    // What docs/CAPACITY.md is worked out from.
+    say(&format!("slope decide.placement-ns {:.0} ns", rows[1].0));
     let upstream_growth = rows[2].0 / rows[0].0;
     let mut services = Vec::new();
     for count in [4, 100, 6_000] {
--- a/crates/trial/examples/capacity/rows.rs
+++ b/crates/trial/examples/capacity/rows.rs
@@ -90,7 +90,7 @@
         self.rows.push(CapacityRow {
             role: plan.role,
             what: plan.what,
-            slope: format!("{} {} {}", plan.slope, slope.value, slope.unit),
+            slope: format!("{} {} {}", plan.slope, short(slope.value), slope.unit),
             arithmetic: plan.arithmetic,
             figure: slope.value * plan.times,
             budget: plan.budget,
@@ -265,3 +265,14 @@
         },
     ]
 }
+
+/// Shows a slope with three or four digits, whatever its size.
+fn short(value: f64) -> String {
+    if value >= 100.0 {
+        format!("{value:.0}")
+    } else if value >= 0.01 {
+        format!("{value:.2}")
+    } else {
+        format!("{value:.2e}")
+    }
+}
