model: the rule on ledger groups stands with the other rules of a patch

Cause: `patch check` said "valid" for a change of ledger-groups that the submit refused: the rule stood in control only.

Change: FleetConfig::faults_of checks it; control's own copy is gone. A test asks the check; control's test of the submit stays as it was.

Conclusion: check and submit tell the same.

--- a/crates/control/src/state/config.rs
+++ b/crates/control/src/state/config.rs
@@ -20,8 +20,7 @@
     config::{ConfigImage, FleetConfig},
     numbers::ConfigNumber,
     patch::{
-        ConfigChange, ConfigDelta, ConfigPatch, PatchFault, PatchId, PatchRecord, PatchRefusal,
-        PatchResult,
+        ConfigChange, ConfigDelta, ConfigPatch, PatchId, PatchRecord, PatchRefusal, PatchResult,
     },
 };
 use xxhash_rust::xxh3::xxh3_128;
@@ -118,9 +117,6 @@
     }
 
     fn apply(&mut self, patch: ConfigPatch, bytes: usize) -> PatchResult {
-        if patch.base == self.config.number() {
-            self.check_groups(&patch)?;
-        }
         let next =
             self.config.apply(&patch).map_err(|refusal| self.with_conflicts(refusal, &patch))?;
         let number = next.number();
@@ -131,29 +127,6 @@
         Ok(number)
     }
 
-    /// Refuses to change the number of ledger groups after the first patch.
-    ///
-    /// A key's group follows from the number of groups. Were it changed, a resend would go to another
-    /// group than its first send, find the key unclaimed there, and run a second time.
-    fn check_groups(&self, patch: &ConfigPatch) -> Result<(), PatchRefusal> {
-        let present = self.config.settings().ledger_groups;
-        let first = self.config.number() == ConfigNumber::default();
-        let other = patch.changes.iter().find_map(|change| match change {
-            ConfigChange::PutSettings { settings } if settings.ledger_groups != present => {
-                Some(settings.ledger_groups)
-            }
-            _ => None,
-        });
-        let Some(value) = other.filter(|_| !first) else { return Ok(()) };
-        let fault = PatchFault::OutOfRange {
-            name: "settings".to_owned(),
-            field: "ledger-groups".to_owned(),
-            value: u64::from(value),
-            expected: format!("{present}, since only the first patch may set it"),
-        };
-        Err(PatchRefusal::Invalid { faults: vec![fault] })
-    }
-
     fn with_conflicts(&self, refusal: PatchRefusal, patch: &ConfigPatch) -> PatchRefusal {
         let PatchRefusal::StaleBase { base, present, .. } = refusal else { return refusal };
         let touched =
--- a/crates/model/src/patch.rs
+++ b/crates/model/src/patch.rs
@@ -312,7 +312,10 @@
         match change {
             ConfigChange::PutService { name, rule } => check_service(name, rule, faults),
             ConfigChange::PutRoute { name, rule } => check_route(name, rule, faults),
-            ConfigChange::PutSettings { settings } => check_settings(settings, faults),
+            ConfigChange::PutSettings { settings } => {
+                check_settings(settings, faults);
+                self.check_groups(settings, faults);
+            }
             ConfigChange::DropService { name } if self.service(name).is_none() => {
                 faults.push(nothing_to_drop("service", name.as_str()));
             }
@@ -323,6 +326,23 @@
         }
     }
 
+    /// Refuses to change the number of ledger groups after the first patch.
+    ///
+    /// A key's group follows from the number of groups. Were it changed, a resend would go to another
+    /// group than its first send, find the key unclaimed there, and run a second time.
+    fn check_groups(&self, settings: &ControlSettings, faults: &mut Vec<PatchFault>) {
+        let present = self.settings.ledger_groups;
+        if self.number == ConfigNumber::default() || settings.ledger_groups == present {
+            return;
+        }
+        faults.push(PatchFault::OutOfRange {
+            name: "settings".to_owned(),
+            field: "ledger-groups".to_owned(),
+            value: u64::from(settings.ledger_groups),
+            expected: format!("{present}, since only the first patch may set it"),
+        });
+    }
+
     /// Checks what only the outcome of all changes shows, looking no further than the entries that
     /// changed: a check of all routes would cost more with each route there is. Dropping a service
     /// is rare and looks at all.
--- a/crates/model/tests/model.rs
+++ b/crates/model/tests/model.rs
@@ -4,7 +4,7 @@
 use model::{
     announcement::{UpstreamAnnouncement, UpstreamState},
     call::CallClass,
-    config::{FleetConfig, ServiceRule},
+    config::{ControlSettings, FleetConfig, ServiceRule},
     ledger::CallKey,
     names::ServiceName,
     numbers::{ConfigNumber, IncarnationNumber},
@@ -98,6 +98,16 @@
     expect_that!(faults, elements_are![pat!(PatchFault::ServiceInUse { .. })]);
 }
 
+// A check that says "valid" where the submit refuses sends its operator into a race for nothing.
+#[gtest]
+fn a_check_tells_that_the_number_of_ledger_groups_is_fixed() {
+    let settings = ControlSettings { ledger_groups: 4, ..ControlSettings::default() };
+    let change = [ConfigChange::PutSettings { settings }];
+    expect_that!(FleetConfig::default().faults_of(&change), is_empty());
+    let later = config(vec![service("cluebook")]).faults_of(&change);
+    expect_that!(later, elements_are![pat!(PatchFault::OutOfRange { .. })]);
+}
+
 #[gtest]
 fn a_difference_and_an_image_lead_to_the_same_digest() {
     let before = config(vec![service("cluebook")]);
