--- a/crates/control/src/replica/following.rs
+++ b/crates/control/src/replica/following.rs
@@ -4,7 +4,7 @@
 
 use crate::replica::{
     core::{PartialSnapshot, ReplicaCore, RoleState, Sender},
-    entry::{EntryBody, LogEntry, SnapshotImage},
+    entry::{EntryBody, LogEntry, SeatList, SnapshotImage},
     log::LogWrite,
     message::ReplicaMessage,
 };
@@ -135,13 +135,19 @@
             self.send_late(from, reply);
             return;
         }
+        self.install(from, seats, stamp);
+    }
+
+    /// Puts a snapshot that is whole in the place of the log.
+    fn install(&mut self, from: &Sender, seats: SeatList, stamp: u64) {
         let Some(partial) = self.partial.take() else { return };
-        if crc32fast::hash(&partial.bytes) != checksum {
+        let PartialSnapshot { index, term, checksum, bytes } = partial;
+        if crc32fast::hash(&bytes) != checksum {
             return;
         }
-        let bytes = Arc::from(partial.bytes);
         self.commit = index;
-        self.cut_log(Arc::new(SnapshotImage { index, term: index_term, seats, bytes }));
+        self.cut_log(Arc::new(SnapshotImage { index, term, seats, bytes: Arc::from(bytes) }));
+        let term = self.term;
         self.send_late(from, ReplicaMessage::AppendReply { term, matched: true, index, stamp });
     }
 
