capacity: budgets are held against sums, and renewals have a row

Cause: each row was compared with the whole budget of a node, so that 58 MB of routes and 136 MB of announcements both looked nearly fine. What passing renewals on costs had no slope.

Change: rows that share a budget are added up, and only the sum is judged; bounds_fleet prints the bytes of a renewal.

--- a/crates/fleet/benches/bounds_fleet.rs
+++ b/crates/fleet/benches/bounds_fleet.rs
@@ -30,7 +30,9 @@
     numbers::{ConfigNumber, IncarnationNumber},
 };
 use serde::Serialize;
-use support::{ask, at, grant, member, record, service, settle, upstream, upstream_fact};
+use support::{
+    announcement, ask, at, grant, member, record, service, settle, upstream, upstream_fact,
+};
 use values::{FRAMING, ValueFleet};
 
 const SIZES: [u16; 4] = [16, 64, 256, 1_024];
@@ -324,11 +326,11 @@
 }
 
 /// Prints what docs/CAPACITY.md is worked out from.
-fn print_slopes(last: &SizeRow, announcement: f64, one_member: f64, call: f64) {
+fn print_slopes(last: &SizeRow, one_upstream: f64, one_member: f64, call: f64) {
     let digest = repair_bytes(70_000) / REPAIR_PERIOD.as_secs_f64();
     let fact = (last.busy_bytes - last.quiet_bytes) / (MEMBER_CHANGES + UPSTREAM_CHANGES);
     println!("slope fleet.member-memory {one_member:.0} B");
-    println!("slope fleet.announcement-memory {announcement:.0} B");
+    println!("slope fleet.announcement-memory {one_upstream:.0} B");
     println!("slope fleet.quiet-bytes {:.0} B/s", last.quiet_bytes);
     println!("slope fleet.digest-bytes {digest:.0} B/s");
     println!("slope fleet.fact-bytes {fact:.0} B");
@@ -336,6 +338,8 @@
     println!("slope fleet.config-ms {:.0} ms", last.config_ms);
     println!("slope fleet.core-percent {:.3} %", last.core_percent);
     println!("slope fleet.call-bytes {call:.0} B");
+    let renewal = announcement("cluebook-12345", UpstreamState::Serving, 1);
+    println!("slope fleet.renewal-bytes {:.0} B", size(&renewal) + FRAMING.0 as f64);
 }
 
 fn main() -> ExitCode {
--- a/crates/trial/examples/capacity/rows.rs
+++ b/crates/trial/examples/capacity/rows.rs
@@ -23,6 +23,8 @@
 const KEYED_SHARE: f64 = 0.1;
 /// How long a key is kept at that size.
 const KEEP_SECONDS: f64 = 600.0;
+/// How often an upstream renews: four times in the longest lease that is accepted, 60 s.
+const RENEWAL_SECONDS: f64 = 15.0;
 /// Replicas of each ledger group.
 const REPLICAS: f64 = 3.0;
 /// Facts a second: VMs that go and come (three facts each), targets three times a day.
@@ -30,6 +32,17 @@
 /// The memory of a control VM, in MB.
 const CONTROL_VM_MB: f64 = 8_192.0;
 
+/// What a figure is held against.
+#[derive(Clone, Copy)]
+enum RowBudget {
+    /// This much for the row alone.
+    Alone(f64),
+    /// This much for all rows of the same role and unit together, of which one more row tells.
+    Shared(f64),
+    /// Nothing: it goes with each request, or is told for planning.
+    None,
+}
+
 /// One row of the page.
 pub(crate) struct CapacityRow {
     role: &'static str,
@@ -37,18 +50,18 @@
     slope: String,
     arithmetic: &'static str,
     figure: f64,
-    budget: Option<f64>,
+    budget: RowBudget,
     unit: &'static str,
 }
 
 impl CapacityRow {
     /// Returns the row as the table shows it.
     pub(crate) fn cells(&self) -> [String; 7] {
-        let budget = self.budget.map_or("with each request".to_owned(), |b| self.show(b));
-        let kept = match self.budget {
-            Some(budget) if self.figure > budget => "**no**",
-            Some(_) => "yes",
-            None => "",
+        let (budget, kept) = match self.budget {
+            RowBudget::Alone(budget) if self.figure > budget => (self.show(budget), "**no**"),
+            RowBudget::Alone(budget) => (self.show(budget), "yes"),
+            RowBudget::Shared(_) => ("shared, see the sum".to_owned(), ""),
+            RowBudget::None => ("none: with requests, or for planning".to_owned(), ""),
         };
         [
             self.role.to_owned(),
@@ -80,7 +93,7 @@
     slope: &'static str,
     arithmetic: &'static str,
     times: f64,
-    budget: Option<f64>,
+    budget: RowBudget,
     unit: &'static str,
 }
 
@@ -111,9 +124,32 @@
     for plan in plans.into_iter().flatten() {
         maker.add(&plan)?;
     }
+    let sums = [sum(&maker.rows, "entry", "MB"), sum(&maker.rows, "entry", "B/s")];
+    maker.rows.extend(sums.into_iter().flatten());
     Ok(maker.rows)
 }
 
+/// Adds up the rows that share a budget.
+fn sum(rows: &[CapacityRow], role: &'static str, unit: &'static str) -> Option<CapacityRow> {
+    let shared = rows.iter().filter(|row| row.role == role && row.unit == unit);
+    let shared: Vec<_> = shared
+        .filter_map(|row| match row.budget {
+            RowBudget::Shared(budget) => Some((row.figure, budget)),
+            RowBudget::Alone(_) | RowBudget::None => None,
+        })
+        .collect();
+    let (_, budget) = *shared.first()?;
+    Some(CapacityRow {
+        role,
+        what: "sum of the shared rows",
+        slope: String::new(),
+        arithmetic: "",
+        figure: shared.iter().map(|(figure, _)| figure).sum(),
+        budget: RowBudget::Alone(budget),
+        unit,
+    })
+}
+
 fn entry_control() -> Vec<RowPlan> {
     let memory = |what, slope, arithmetic, count: f64| RowPlan {
         role: "entry",
@@ -121,7 +157,7 @@
         slope,
         arithmetic,
         times: count / 1e6,
-        budget: Some(NODE_MEMORY_MB),
+        budget: RowBudget::Shared(NODE_MEMORY_MB),
         unit: "MB",
     };
     let bytes = |what, slope, arithmetic, times| RowPlan {
@@ -130,7 +166,7 @@
         slope,
         arithmetic,
         times,
-        budget: Some(NODE_BYTES),
+        budget: RowBudget::Shared(NODE_BYTES),
         unit: "B/s",
     };
     vec![
@@ -146,13 +182,19 @@
             FACTS,
         ),
         bytes("configuration", "fleet.config-bytes", "x 20,000 / day", CHANGES_A_DAY / DAY),
+        bytes(
+            "renewals passed on to the lease's keeper",
+            "fleet.renewal-bytes",
+            "x 170,000 / 15 s / 5,700, for leases of 60 s",
+            TARGETS / RENEWAL_SECONDS / NODES,
+        ),
         RowPlan {
             role: "entry",
             what: "processor time of gossip",
             slope: "fleet.core-percent",
             arithmetic: "x 1 (at 1,024 VMs)",
             times: 1.0,
-            budget: Some(NODE_CORE_PERCENT),
+            budget: RowBudget::Alone(NODE_CORE_PERCENT),
             unit: "%",
         },
         RowPlan {
@@ -161,7 +203,7 @@
             slope: "fleet.config-ms",
             arithmetic: "x log 5,700 / log 1,024",
             times: NODES.ln() / 1_024_f64.ln(),
-            budget: Some(IN_FORCE_MS),
+            budget: RowBudget::Alone(IN_FORCE_MS),
             unit: "ms",
         },
     ]
@@ -174,7 +216,7 @@
         slope,
         arithmetic,
         times,
-        budget: None,
+        budget: RowBudget::None,
         unit,
     };
     vec![
@@ -192,7 +234,7 @@
             slope: "caller.added-p99-ms",
             arithmetic: "x 1; a placer in another failure domain adds its round trip",
             times: 1.0,
-            budget: Some(ADDED_P99_MS),
+            budget: RowBudget::Alone(ADDED_P99_MS),
             unit: "ms",
         },
     ]
@@ -205,7 +247,7 @@
         slope: "decide.placement-ns",
         arithmetic: "x 1.6 M / 5,700",
         times: CALLS / NODES / 1e7,
-        budget: None,
+        budget: RowBudget::None,
         unit: "% of a core",
     }]
 }
@@ -218,7 +260,7 @@
             slope: "control.change-us",
             arithmetic: "x 20,000 / day",
             times: CHANGES_A_DAY / DAY / 1e4,
-            budget: Some(NODE_CORE_PERCENT),
+            budget: RowBudget::Alone(NODE_CORE_PERCENT),
             unit: "% of a core",
         },
         RowPlan {
@@ -227,7 +269,7 @@
             slope: "control.restart-ms",
             arithmetic: "x 1",
             times: 1.0,
-            budget: None,
+            budget: RowBudget::None,
             unit: "ms",
         },
     ]
@@ -242,7 +284,7 @@
             slope: "control.claim-seconds",
             arithmetic: "x 160,000 x 2, one leader a group",
             times: claims * 2.0,
-            budget: Some(CONTROL_VMS),
+            budget: RowBudget::Alone(CONTROL_VMS),
             unit: "groups",
         },
         RowPlan {
@@ -251,7 +293,7 @@
             slope: "control.key-memory",
             arithmetic: "x 160,000 x 600 s x 3 / 29",
             times: claims * KEEP_SECONDS * REPLICAS / CONTROL_VMS / 1e6,
-            budget: Some(CONTROL_VM_MB),
+            budget: RowBudget::Alone(CONTROL_VM_MB),
             unit: "MB",
         },
         RowPlan {
@@ -260,7 +302,7 @@
             slope: "control.claim-bytes",
             arithmetic: "x 160,000 x 2 / 29",
             times: claims * 2.0 / CONTROL_VMS / 1e6,
-            budget: None,
+            budget: RowBudget::None,
             unit: "MB/s",
         },
     ]
