--- a/crates/trial/examples/capacity/rows.rs
+++ b/crates/trial/examples/capacity/rows.rs
@@ -230,7 +230,7 @@
         ),
         RowPlan {
             role: "entry",
-            what: "delay added at p99, on one machine",
+            what: "delay added to a read at p99 by the entry alone, on one machine",
             slope: "caller.added-p99-ms",
             arithmetic: "x 1; a placer in another failure domain adds its round trip",
             times: 1.0,
