decide, fleet: a new placer takes over the ejections that were told before

Cause: ejections did not pass to a new placer. After each change of placer (a planned stop, a lost VM) a failing upstream got work again until the new placer had evidence of its own.

Ruled out: handing the evidence itself over; it is large, and the notices of ejections are on each VM already.

Change: a placer that opens adopts the ejections that the fleet's notices tell, each until its told end, down to the floor, and tells them anew under its own epoch.

Suspicion that fell short of an ejection is still lost with its placer.

--- a/crates/decide/src/placer/action.rs
+++ b/crates/decide/src/placer/action.rs
@@ -56,6 +56,8 @@
     Latency,
     /// It failed the trial after an ejection.
     TrialFailed,
+    /// The placer before this one had ejected it.
+    Adopted,
 }
 
 /// Why an ejected upstream takes work again.
@@ -92,6 +94,7 @@
     Failures => "failures",
     Latency => "latency",
     TrialFailed => "trial-failed",
+    Adopted => "adopted",
 });
 display_words!(ReturnReason {
     TrialPassed => "trial-passed",
--- a/crates/decide/src/placer/standing.rs
+++ b/crates/decide/src/placer/standing.rs
@@ -23,7 +23,7 @@
     grants::OwnGrant,
     target::{Standing, StartTime},
 };
-use model::{call::OutcomeClass, moment::Moment, slot::SlotSettle};
+use model::{call::OutcomeClass, moment::Moment, names::UpstreamName, slot::SlotSettle};
 use rand::Rng;
 use std::time::Duration;
 
@@ -197,7 +197,18 @@
         let flaps = self.targets.get(target).flaps.min(DOUBLINGS_LIMIT);
         let span = (self.first_span() * (1 << flaps)).min(LONGEST_EJECTION);
         let span = span.mul_f64(self.random.random_range(0.9..1.1));
-        let until = now + span;
+        self.stay_out(target, now + span, reason, now, actions);
+    }
+
+    fn stay_out(
+        &mut self,
+        target: u32,
+        until: Moment,
+        reason: EjectReason,
+        now: Moment,
+        actions: &mut Vec<PlacerAction>,
+    ) {
+        let span = until.since(now);
         self.targets.stand(target, Standing::Ejected { until, span }, now);
         self.detector.clear(target as usize);
         self.revoke_unused(target, actions);
@@ -211,6 +222,31 @@
         self.note_loss(self.targets.get(target).announcement.slots, now);
     }
 
+    /// Leaves an upstream out until a moment, as the placer before this one decided, unless that would
+    /// take the service below its floor.
+    ///
+    /// Load: a change of placer while an upstream fails, which a planned stop or a lost VM brings
+    /// about at any time. Harm prevented: the new placer knows nothing, sends it work and has to
+    /// find the failure once more, at the callers' cost. Reason for the limits: the floor is this
+    /// placer's to guard, whoever decided; and no ejection lasts longer than its own might.
+    pub fn adopt_ejection(
+        &mut self,
+        upstream: &UpstreamName,
+        until: Moment,
+        now: Moment,
+        actions: &mut Vec<PlacerAction>,
+    ) {
+        self.begin(now);
+        let Some(target) = self.targets.index(upstream) else { return };
+        let takes_work = self.targets.serving().any(|(serving, _)| serving == target);
+        let is_member = self.targets.get(target).is_member();
+        if !takes_work || !is_member || until <= now || !self.floor_allows(target, 0, now) {
+            return;
+        }
+        let until = until.min(now + LONGEST_EJECTION);
+        self.stay_out(target, until, EjectReason::Adopted, now, actions);
+    }
+
     /// Ends ejections and trials whose time is over.
     pub(super) fn end_standings(&mut self, now: Moment, actions: &mut Vec<PlacerAction>) {
         while let Some(target) = self.targets.next_over(now) {
--- a/crates/decide/tests/rows.rs
+++ b/crates/decide/tests/rows.rs
@@ -355,3 +355,32 @@
     let granted = direct.settle(&second, OutcomeClass::Success);
     expect_that!(granted, contains(matches_pattern!(PlacerAction::Grant { .. })));
 }
+
+// Callers would be sent to a failing upstream again after each change of placer. The new placer hears
+// of the ejections from the fleet; it takes them over, but none that would cost the floor, which is
+// its own to guard.
+#[gtest]
+fn row_17_a_new_placer_takes_over_ejections_down_to_the_floor() {
+    let mut direct = Direct::open(build::guild_rule(12), 12, 4);
+    let floor = build::guild_rule(12).floor_slots;
+    let until = direct.now + Duration::from_secs(5);
+    let mut actions = Vec::new();
+    for number in 0..12 {
+        direct.placer.adopt_ejection(&build::upstream(number), until, direct.now, &mut actions);
+    }
+    let out = ejected(&actions);
+    expect_that!(out, not(is_empty()));
+    expect_that!(direct.placer.capacity().healthy_slots, ge(floor));
+    expect_that!(direct.placer.capacity().healthy_slots, lt(floor + 4));
+    let granted = build::upstream_number(&direct.ask().grant().upstream);
+    expect_that!(out, not(contains(eq(&granted))));
+}
+
+// An ejection whose time is over by the time it is heard of is none.
+#[gtest]
+fn row_17_an_ejection_that_is_over_is_not_taken_over() {
+    let mut direct = Direct::open(build::guild_rule(12), 12, 4);
+    let mut actions = Vec::new();
+    direct.placer.adopt_ejection(&build::upstream(3), direct.now, direct.now, &mut actions);
+    expect_that!(ejected(&actions), is_empty());
+}
--- a/crates/fleet/src/driver/duty.rs
+++ b/crates/fleet/src/driver/duty.rs
@@ -14,7 +14,7 @@
     announcement::UpstreamAnnouncement,
     config::ServiceRule,
     moment::Moment,
-    names::{MemberName, ServiceName},
+    names::{MemberName, ServiceName, UpstreamName},
 };
 use rand::Rng;
 
@@ -107,6 +107,9 @@
             placer.announce(&announcement, now, &mut actions);
         }
         self.tell_poison(service, &mut placer, now);
+        for (upstream, until) in self.known_ejections(service, now) {
+            placer.adopt_ejection(&upstream, until, now, &mut actions);
+        }
         let duty =
             DutyState { placer, claim: claim.clone(), opened: now, counting: None, notices: 0 };
         self.duties.insert(service.clone(), duty);
@@ -142,6 +145,22 @@
         }
     }
 
+    /// Lists the ejections that the service's earlier placers told, each with its end.
+    fn known_ejections(&self, service: &ServiceName, now: Moment) -> Vec<(UpstreamName, Moment)> {
+        let mut known = Vec::new();
+        for fact in self.gossip.store().facts() {
+            if let FleetFact::Notice(notice) = fact
+                && notice.holds
+                && let NoticeSubject::Ejection { service: of, upstream } = &notice.subject
+                && of == service
+            {
+                let left = self.gossip.store().left(&fact.key(), now);
+                known.push((upstream.clone(), now + left));
+            }
+        }
+        known
+    }
+
     /// Asks each VM in reach which grants it holds. Until all have answered, or for a bounded time,
     /// the placer grants only what is surely free.
     fn start_recount(&mut self, service: &ServiceName, claim: &PlacerClaim, now: Moment) {
--- a/crates/trial/tests/whole_path.rs
+++ b/crates/trial/tests/whole_path.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 use model::names::UpstreamName;
 use standin::upstream::FaultPlan;
-use support::{eventually, start_load};
+use support::{eventually, start_load, start_reads};
 use trial::{
     deployment::Deployment,
     guild,
@@ -105,3 +105,45 @@
     upstream.set_fault(FaultPlan { errors, ..FaultPlan::NONE });
     upstream.settings().upstream.clone()
 }
+
+// Readers see nothing. The placer that ejected a failing upstream is killed; the one that follows has
+// no evidence of its own, but the ejection was told to all, so the upstream gets no work again.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_ejection_outlives_its_placer() {
+    let mut deployment = Deployment::spawn(guild::plan(5), 4, 1).await.unwrap();
+    let operators = deployment.running().map(|node| node.operator_address()).collect();
+    let watch = EjectionWatch::spawn(operators);
+    // Reads only: the VM that is killed may hold the ledger.
+    let mut load = start_reads(&deployment);
+    load.after(300).await;
+    let gray = gray_one(&deployment, 0.5);
+    let ejected = eventually(async || watch.ejected_at(&gray).is_some()).await;
+    expect_true!(ejected);
+    load.after(100).await;
+    let ran = deployment.upstreams[0].ran();
+    let placer = placer_of(&deployment, "cluebook").await;
+    deployment.kill(placer);
+    let survivor = usize::from(placer == 0);
+    let moved = eventually(async || {
+        let member = placer_name(&deployment, survivor, "cluebook").await;
+        member.is_some_and(|member| member != format!("guild-{placer}"))
+    });
+    expect_true!(moved.await);
+    load.after(300).await;
+    expect_that!(deployment.upstreams[0].ran() - ran, le(1));
+    let tally = load.finish().await;
+    expect_that!(broken_by_kill(&tally, &deployment.runs_by_key()), is_empty());
+}
+
+async fn placer_of(deployment: &Deployment, service: &str) -> usize {
+    let member = placer_name(deployment, 0, service).await.unwrap();
+    member.rsplit('-').next().unwrap().parse().unwrap()
+}
+
+/// Returns the VM that places a service, as one daemon's operators' interface tells.
+async fn placer_name(deployment: &Deployment, daemon: usize, service: &str) -> Option<String> {
+    let page = deployment.page(daemon, "/placers").await.ok()?;
+    let row = page.as_array()?.iter().find(|row| row["service"] == service)?;
+    row["member"].as_str().map(str::to_owned)
+}
