trial: the plan of a deployment in a module of its own

Change: `plan` holds the plan and makes the settings; both use it.

Conclusion: behaviour as before.

--- a/crates/trial/examples/hunt_day.rs
+++ b/crates/trial/examples/hunt_day.rs
@@ -16,9 +16,10 @@
 use trial::{
     balancer::BalancerStandin,
     convoy,
-    deployment::{Deployment, DeploymentError, DeploymentPlan},
+    deployment::{Deployment, DeploymentError},
     guild,
     load::{LoadPlan, LoadRun, LoadTally},
+    plan::DeploymentPlan,
     promise::{BrokenPromise, broken_promises},
     watch::EjectionWatch,
 };
--- a/crates/trial/examples/upstreams.rs
+++ b/crates/trial/examples/upstreams.rs
@@ -5,12 +5,8 @@
 
 use std::{collections::BTreeMap, env, net::SocketAddr, process::ExitCode, time::Duration};
 
-use standin::upstream::{FaultPlan, StandinSettings, UpstreamStandin};
-use trial::{
-    convoy,
-    deployment::{DeploymentPlan, SECRET, SERVICE_TIME},
-    guild,
-};
+use standin::upstream::{FaultPlan, UpstreamStandin};
+use trial::{convoy, guild, plan::DeploymentPlan};
 
 fn main() -> ExitCode {
     let Some((plan, seconds, announce)) = read_args() else {
@@ -52,24 +48,8 @@
     announce: Vec<SocketAddr>,
 ) -> std::io::Result<BTreeMap<String, u32>> {
     let mut upstreams = Vec::new();
-    for service in &plan.services {
-        for number in 0..service.upstreams {
-            let mut announce = announce.clone();
-            let turn = number as usize % announce.len();
-            announce.rotate_left(turn);
-            let settings = StandinSettings {
-                service: service.name.parse().expect("a valid name"),
-                upstream: format!("{}-{number}", service.name).parse().expect("a valid name"),
-                domain: plan.domains[number as usize % 4].parse().expect("a valid name"),
-                slots: service.slots,
-                connections: plan.connections,
-                takes: SERVICE_TIME,
-                announce,
-                secret: SECRET.to_owned(),
-                seed: u64::from(number),
-            };
-            upstreams.push(UpstreamStandin::spawn(settings).await?);
-        }
+    for settings in plan.upstream_settings(&announce) {
+        upstreams.push(UpstreamStandin::spawn(settings).await?);
     }
     // One of them fails grayly from the start, so that retries run too.
     upstreams[0].set_fault(FaultPlan { errors: 0.2, cuts: 0.1, ..FaultPlan::NONE });
--- a/crates/trial/src/deployment.rs
+++ b/crates/trial/src/deployment.rs
@@ -5,14 +5,15 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
 
-use crate::folder::TempFolder;
+use crate::{
+    folder::TempFolder,
+    plan::{DeploymentPlan, SECRET},
+};
 use daemon::{
     node::{DaemonError, DaemonNode},
     settings::DaemonSettings,
 };
 use model::{
-    call::CallClass,
-    config::ServiceRule,
     names::MemberName,
     numbers::ConfigNumber,
     patch::{ConfigChange, ConfigPatch, PatchId},
@@ -23,59 +24,14 @@
 use snafu::{ResultExt, Snafu, ensure};
 use standin::{
     call::{CallError, call, request},
-    upstream::{StandinSettings, UpstreamStandin},
+    upstream::UpstreamStandin,
 };
 use tokio::runtime::{Builder, Runtime};
 use uuid::Uuid;
 
-/// The secret of all ports of a deployment.
-pub const SECRET: &str = "a secret for one machine only";
-
-/// How long a call takes at an upstream.
-pub const SERVICE_TIME: Duration = Duration::from_millis(5);
-
 /// How long a deployment may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// One service and its upstreams.
-#[derive(Clone, Debug)]
-pub struct ServicePlan {
-    /// Its name.
-    pub name: &'static str,
-    /// Its rule.
-    pub rule: ServiceRule,
-    /// How many upstreams.
-    pub upstreams: u32,
-    /// How many slots each has.
-    pub slots: u32,
-}
-
-/// One route.
-#[derive(Clone, Copy, Debug)]
-pub struct RoutePlan {
-    /// The service that answers.
-    pub service: &'static str,
-    /// The path.
-    pub path: &'static str,
-    /// The class of its calls.
-    pub class: CallClass,
-}
-
-/// What a deployment is made of.
-#[derive(Clone, Debug)]
-pub struct DeploymentPlan {
-    /// Its name.
-    pub name: &'static str,
-    /// Its failure domains.
-    pub domains: [&'static str; 4],
-    /// Its services.
-    pub services: Vec<ServicePlan>,
-    /// Its routes.
-    pub routes: Vec<RoutePlan>,
-    /// How many connections an upstream accepts.
-    pub connections: u32,
-}
-
 /// Why a deployment did not start.
 #[derive(Debug, Snafu)]
 pub enum DeploymentError {
@@ -259,25 +215,9 @@
 
     async fn spawn_upstreams(&mut self) -> Result<(), DeploymentError> {
         let announce: Vec<_> = self.running().map(DaemonNode::announce_address).collect();
-        for service in self.plan.services.clone() {
-            for number in 0..service.upstreams {
-                let mut announce = announce.clone();
-                let turn = number as usize % announce.len();
-                announce.rotate_left(turn);
-                let settings = StandinSettings {
-                    service: service.name.parse().expect("a valid name"),
-                    upstream: format!("{}-{number}", service.name).parse().expect("a valid name"),
-                    domain: self.plan.domains[number as usize % 4].parse().expect("a valid name"),
-                    slots: service.slots,
-                    connections: self.plan.connections,
-                    takes: SERVICE_TIME,
-                    announce,
-                    secret: SECRET.to_owned(),
-                    seed: u64::from(number),
-                };
-                let upstream = UpstreamStandin::spawn(settings).await.context(SystemSnafu)?;
-                self.upstreams.push(upstream);
-            }
+        for settings in self.plan.upstream_settings(&announce) {
+            let upstream = UpstreamStandin::spawn(settings).await.context(SystemSnafu)?;
+            self.upstreams.push(upstream);
         }
         Ok(())
     }
--- a/crates/trial/src/guild.rs
+++ b/crates/trial/src/guild.rs
@@ -2,7 +2,7 @@
 
 use model::{call::CallClass, config::ServiceRule};
 
-use crate::deployment::{DeploymentPlan, RoutePlan, ServicePlan};
+use crate::plan::{DeploymentPlan, RoutePlan, ServicePlan};
 
 /// Plans the Guild's deployment with `upstreams` targets for each service, 4 slots each.
 pub fn plan(upstreams: u32) -> DeploymentPlan {
--- a/crates/trial/src/load.rs
+++ b/crates/trial/src/load.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{balancer::BalancerStandin, deployment::RoutePlan};
+use crate::{balancer::BalancerStandin, plan::RoutePlan};
 use hdrhistogram::Histogram;
 use model::{
     call::{CallClass, KEY_HEADER, OUTCOME_HEADER},
--- a/crates/trial/src/watch.rs
+++ b/crates/trial/src/watch.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use crate::deployment::SECRET;
+use crate::plan::SECRET;
 use model::{
     names::UpstreamName,
     report::{UpstreamHealth, UpstreamRow},
--- a/crates/trial/tests/support/mod.rs
+++ b/crates/trial/tests/support/mod.rs
@@ -8,8 +8,9 @@
 use model::ledger::CallKey;
 use trial::{
     balancer::BalancerStandin,
-    deployment::{Deployment, RoutePlan},
+    deployment::Deployment,
     load::{LoadPlan, LoadRun, now_ms},
+    plan::RoutePlan,
 };
 
 /// How long a condition is waited for.
