operator, docs: what the operators' interface costs at the size to come

Cause: the capacity page told every role's figures but the operators' interface's.

Conclusion: a page of all upstreams is too large at 170,000 targets; it will have to be asked for by service.

--- a/crates/trial/examples/capacity/rows.rs
+++ b/crates/trial/examples/capacity/rows.rs
@@ -120,7 +120,14 @@
 /// Fails when a slope is missing.
 pub(crate) fn work_out(slopes: &SlopeTable) -> Result<Vec<CapacityRow>, SlopeError> {
     let mut maker = RowMaker { slopes, rows: Vec::new() };
-    let plans = [entry_control(), entry_requests(), placer(), config_replica(), ledger_replica()];
+    let plans = [
+        entry_control(),
+        entry_requests(),
+        placer(),
+        config_replica(),
+        ledger_replica(),
+        operators(),
+    ];
     for plan in plans.into_iter().flatten() {
         maker.add(&plan)?;
     }
@@ -308,6 +315,24 @@
     ]
 }
 
+fn operators() -> Vec<RowPlan> {
+    let page = |what, slope, arithmetic, times, unit| RowPlan {
+        role: "operators' interface",
+        what,
+        slope,
+        arithmetic,
+        times,
+        budget: RowBudget::None,
+        unit,
+    };
+    vec![
+        page("page of all VMs", "operator.member-bytes", "x 5,700", NODES / 1e6, "MB"),
+        page("its processor time", "operator.member-us", "x 5,700", NODES / 1e3, "ms"),
+        page("page of all upstreams", "operator.upstream-bytes", "x 170,000", TARGETS / 1e6, "MB"),
+        page("its processor time", "operator.upstream-us", "x 170,000", TARGETS / 1e3, "ms"),
+    ]
+}
+
 /// Shows a slope with three or four digits, whatever its size.
 fn short(value: f64) -> String {
     if value >= 100.0 {
