--- a/crates/trial/examples/hunt_day.rs
+++ b/crates/trial/examples/hunt_day.rs
@@ -9,16 +9,13 @@
 
 use comfy_table::Table;
 use hdrhistogram::Histogram;
-use standin::{
-    call::{CallConnection, request},
-    upstream::FaultPlan,
-};
+use standin::upstream::FaultPlan;
 use trial::{
     balancer::BalancerStandin,
     convoy,
     deployment::{Deployment, DeploymentError},
     guild,
-    load::{LoadPlan, LoadRun, LoadTally},
+    load::{LoadPlan, LoadRun, LoadTally, measure_direct},
     plan::DeploymentPlan,
     promise::{BrokenPromise, broken_promises},
     watch::EjectionWatch,
@@ -95,7 +92,7 @@
 
 async fn run_day(plan: DeploymentPlan) -> Result<DayResult, DeploymentError> {
     let mut deployment = Deployment::spawn(plan, DAEMONS, 1).await?;
-    let direct = measure_direct(&deployment).await;
+    let direct = measure_direct(deployment.upstreams[0].address()).await;
     let balancer = Arc::new(BalancerStandin::spawn(deployment.entries()));
     let load_plan = LoadPlan {
         routes: deployment.plan.routes.clone(),
@@ -134,20 +131,6 @@
     })
 }
 
-async fn measure_direct(deployment: &Deployment) -> Histogram<u64> {
-    let mut took = Histogram::new(3).expect("three digits are allowed");
-    let address = deployment.upstreams[0].address();
-    let Ok(mut connection) = CallConnection::open(address).await else { return took };
-    for _ in 0..500 {
-        let started = Instant::now();
-        if connection.send(request("GET", "/direct", &[], b"")).await.is_ok() {
-            let micros = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
-            took.record(micros).expect("the histogram grows as needed");
-        }
-    }
-    took
-}
-
 fn print(results: &[DayResult]) {
     let mut table = Table::new();
     let mut header = vec!["".to_owned()];
--- a/crates/trial/src/load.rs
+++ b/crates/trial/src/load.rs
@@ -1,6 +1,7 @@
 //! Callers, and what became of their calls.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -168,7 +169,7 @@
 struct LoadCaller {
     random: Pcg64Mcg,
     tally: LoadTally,
-    connection: Option<(std::net::SocketAddr, CallConnection)>,
+    connection: Option<(SocketAddr, CallConnection)>,
     number: usize,
     balancer: Arc<BalancerStandin>,
     settled: Arc<watch::Sender<u64>>,
@@ -185,6 +186,9 @@
     Cut,
 }
 
+/// How many direct calls are measured.
+const DIRECT_CALLS: u32 = 500;
+
 /// How often a key is sent again before its caller gives up.
 const RESENDS_LIMIT: u32 = 8;
 
@@ -255,7 +259,7 @@
     }
 
     /// Keeps the connection as long as the balancer would.
-    async fn connect(&mut self) -> Option<(std::net::SocketAddr, CallConnection)> {
+    async fn connect(&mut self) -> Option<(SocketAddr, CallConnection)> {
         if let Some(held) = self.connection.take()
             && self.balancer.is_ready(held.0)
             && !held.1.is_closing()
@@ -308,6 +312,24 @@
     }
 }
 
+/// Measures calls to an upstream without the fleet, in microseconds.
+///
+/// # Panics
+///
+/// Panics when the upstream does not answer.
+pub async fn measure_direct(upstream: SocketAddr) -> Histogram<u64> {
+    let mut took = Histogram::new(3).expect("three digits are allowed");
+    let mut connection = CallConnection::open(upstream).await.expect("the upstream listens");
+    for _ in 0..DIRECT_CALLS {
+        let started = Instant::now();
+        let answer = connection.send(request("GET", "/direct", &[], b"")).await;
+        answer.expect("the upstream answers");
+        let micros = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        took.record(micros).expect("the histogram grows as needed");
+    }
+    took
+}
+
 /// Returns the milliseconds since 1970.
 pub fn now_ms() -> u64 {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
