--- a/crates/control/tests/matrix.rs
+++ b/crates/control/tests/matrix.rs
@@ -158,8 +158,10 @@
         world.blocked.clear();
         world.restart_all();
         world.settle(4_000);
-        // The fault may strike as late as this.
+        // The fault may strike as late as this: a read takes a round of messages and their answers.
         world.call_leader(&GroupRequest::Confirm);
+        world.restart_all();
+        world.settle(4_000);
         let leader = world.leader().unwrap();
         assert!(world.replica(leader).row().voters.contains(&member), "{}", world.dump());
     });
