--- a/crates/decide/tests/floor_in_use.rs
+++ b/crates/decide/tests/floor_in_use.rs
@@ -41,6 +41,22 @@
     (short, all)
 }
 
+// A service serves all of a few payments with less than half of its sound upstreams, while the other part of its
+// route refuses calls.
+#[gtest]
+fn a_small_part_of_a_split_route_leaves_no_sound_upstream_without_work() {
+    let (short, all) = moments_short_of_the_floor(small_part, 50..300);
+    expect_that!(short, eq(0), "of {all} moments");
+}
+
+// Upstreams that have just started get no call for two seconds.
+#[gtest]
+fn upstreams_that_join_get_work_as_the_others_do() {
+    let plan = |seed| PassingPlan { joins: Some((10, 5)), ..small_part(seed) };
+    let (short, all) = moments_short_of_the_floor(plan, 120..180);
+    expect_that!(short, eq(0), "of {all} moments");
+}
+
 // A placer that takes over counts what rested before as just used, so it rests for twice as long.
 #[gtest]
 fn after_a_change_of_placer_no_sound_upstream_rests_for_longer() {
