--- a/crates/trial/tests/whole_path.rs
+++ b/crates/trial/tests/whole_path.rs
@@ -136,6 +136,35 @@
     expect_that!(broken_by_kill(&tally, &deployment.runs_by_key()), is_empty());
 }
 
+// An upstream states that it takes two calls a second, and its placer is killed. Neither the entries that place
+// without one meanwhile nor the next placer give it more.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_rate_that_an_upstream_states_outlives_its_placer() {
+    const PER_S: u32 = 2;
+    let mut deployment = Deployment::spawn(guild::plan(3), 4, 1).await.unwrap();
+    let mut load = start_reads(&deployment);
+    load.after(300).await;
+    deployment.upstreams[0].set_rate(Some(PER_S));
+    load.after(300).await;
+    let (started, before) = (Instant::now(), deployment.upstreams[0].ran());
+    load.after(300).await;
+    let placer = placer_of(&deployment, "cluebook").await;
+    deployment.kill(placer);
+    let survivor = usize::from(placer == 0);
+    let moved = eventually(async || {
+        let member = placer_name(&deployment, survivor, "cluebook").await;
+        member.is_some_and(|member| member != format!("guild-{placer}"))
+    });
+    expect_true!(moved.await);
+    load.after(1_000).await;
+    let ran = deployment.upstreams[0].ran() - before;
+    let seconds = started.elapsed().as_secs_f64();
+    let tally = load.finish().await;
+    expect_that!(ran as f64, le(seconds * f64::from(PER_S) * 1.5 + 5.0), "in {seconds} s");
+    expect_that!(broken_by_kill(&tally, &deployment.runs_by_key()), is_empty());
+}
+
 async fn placer_of(deployment: &Deployment, service: &str) -> usize {
     let member = placer_name(deployment, 0, service).await.unwrap();
     member.rsplit('-').next().unwrap().parse().unwrap()
