standin: the upstream's handle, what it is told and how it serves stand in modules of their own

Change: state (what it is told and counts), serving (connections and answers), upstream (the running handle). Moves alone, but for the state's own constructor.

--- a/crates/standin/src/announcer.rs
+++ b/crates/standin/src/announcer.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     call::{CallError, call, request},
-    upstream::{LEASE, StandinSettings, StandinState, lock},
+    state::{StandinState, lock},
+    upstream::{LEASE, StandinSettings},
 };
 
 pub(crate) struct Announcer {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,4 +8,6 @@
 mod announcer;
 pub mod call;
 pub mod fault;
+mod serving;
+mod state;
 pub mod upstream;
