decide, fleet: entries that are cut off serve offline shares of quotas

Cause: entries that lose their paths to the VMs that place, while the membership believes them reachable, served 1.2 times the usual rate beside the whole rate that the owner gave to the others.

Change: an entry borrows a share of a customer's quota from one VM that places, its lender, and may use it 1.2 s after the lender's latest answer. By then the lender reports it as silent, or is silent itself, and the owner deducts the share from its rate and depth. The owner's bucket and unused leases share one depth. The entry's refusal without a placer is not-ready instead of over-quota. WIRE_VERSION is 17.

--- a/crates/fleet/src/driver/quotas.rs
+++ b/crates/fleet/src/driver/quotas.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use super::{AskReply, FleetDriver, SharedState};
+use super::{AskReply, FleetDriver, SharedState, lending::BorrowingState};
 use crate::wire::{AskFault, FleetPeerClient, PlacerAsk};
 use decide::{
     placer::AskId,
@@ -32,8 +32,8 @@
 
 /// How long a owner may take to answer, and how long when it is asked through another VM: many round trips
 /// between failure domains, and little beside the time in which an answer is of use.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(100);
-const RELAY_TIMEOUT: Duration = Duration::from_millis(150);
+pub(super) const OWNER_TIMEOUT: Duration = Duration::from_millis(100);
+pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// A call that waits for its customer's owner.
 #[derive(Debug)]
@@ -46,14 +46,17 @@
 /// The quotas at one VM.
 #[derive(Debug)]
 pub(super) struct QuotaDesk {
-    owner: QuotaOwner,
-    holder: QuotaHolder,
+    pub(super) owner: QuotaOwner,
+    pub(super) holder: QuotaHolder,
+    /// How many requests are under way to each owner.
+    pub(super) under_way: BTreeMap<MemberName, u32>,
+    pub(super) borrowing: BorrowingState,
     parked: BTreeMap<CallerName, VecDeque<ParkedAsk>>,
     /// The asks that were counted against a quota and have neither been granted nor refused.
     charged: HashMap<AskId, CallerName>,
     /// When leases were last asked for ahead of need.
     requested: Moment,
-    reach: Arc<Mutex<ReachMemory>>,
+    pub(super) reach: Arc<Mutex<ReachMemory>>,
 }
 
 impl QuotaDesk {
@@ -61,6 +64,8 @@
         Self {
             owner: QuotaOwner::open(now),
             holder: QuotaHolder::open(own),
+            under_way: BTreeMap::new(),
+            borrowing: BorrowingState::default(),
             parked: BTreeMap::new(),
             charged: HashMap::new(),
             requested: now,
@@ -68,6 +73,15 @@
         }
     }
 
+    fn answered(&mut self, owner: &MemberName) {
+        if let Some(under_way) = self.under_way.get_mut(owner) {
+            *under_way -= 1;
+            if *under_way == 0 {
+                self.under_way.remove(owner);
+            }
+        }
+    }
+
     /// Notes that a counted ask has a slot.
     pub(super) fn spent(&mut self, id: &AskId) {
         self.charged.remove(id);
@@ -200,6 +214,7 @@
             let config = self.shared.config.load_full();
             desk.owner.tick(|customer| terms_of(&config, customer), now);
             self.request(true, now);
+            self.report_life(now);
         }
     }
 
@@ -226,18 +241,26 @@
         }
     }
 
-    fn ask_owner(&self, owner: MemberName, requests: Vec<(CallerName, QuotaRequest)>) {
+    pub(super) fn ask_owner(
+        &mut self,
+        owner: MemberName,
+        requests: Vec<(CallerName, QuotaRequest)>,
+    ) {
         let (shared, inbox) = (self.shared.clone(), self.inbox.clone());
         let reach = self.quotas.reach.clone();
+        *self.quotas.under_way.entry(owner.clone()).or_default() += 1;
         tokio::spawn(async move {
             let way = OwnerPath { shared, reach, owner };
             let leases = match way.direct(&requests).await {
                 Some(leases) => Some(leases),
                 None => way.relayed(&requests).await,
             };
-            inbox
-                .query(move |driver| driver.take_quota_leases(requests, leases.unwrap_or_default()))
-                .await;
+            let owner = way.owner;
+            let take = move |driver: &mut FleetDriver| {
+                driver.quotas.answered(&owner);
+                driver.take_quota_leases(requests, leases.unwrap_or_default());
+            };
+            inbox.query(take).await;
         });
     }
 
@@ -248,6 +271,7 @@
         requests: &[(CallerName, QuotaRequest)],
     ) -> Vec<Option<QuotaLease>> {
         let now = self.now();
+        self.quotas.owner.heard(holder, now);
         let (view, config) = (self.shared.view.load_full(), self.shared.config.load_full());
         let mut answer = |customer: &CallerName, request: QuotaRequest| {
             let kept = view.quota_owner_of(customer);
@@ -255,8 +279,8 @@
                 return None;
             }
             // Who does not know the customer yet cannot bound it: its holder's configuration is newer.
-            let given =
-                QuotaLease { calls: request.waiting.saturating_add(request.ahead), again_ms: 0 };
+            let calls = request.waiting.saturating_add(request.ahead);
+            let given = QuotaLease { calls, again_ms: 0, pool: 0 };
             let terms = terms_of(&config, customer);
             Some(terms.map_or(given, |terms| {
                 self.quotas.owner.lease(holder, customer, request, &terms, now)
@@ -322,6 +346,9 @@
         let view = self.shared.view.load_full();
         let owner = &mut self.quotas.owner;
         owner.set_part(view.part_in_reach());
+        let reachable = |holder: &MemberName| view.member(holder).is_some_and(|vm| vm.reachable);
+        owner.set_reachable(reachable, now);
+        self.quotas.holder.lender().report_all();
         if moved {
             let own = &self.shared.member;
             let kept = |customer: &CallerName| {
