decide, fleet: cut-off entries find relays by asking their peers

Cause: an entry that does not reach its placer drew one relay among all VMs. With nine tenths of the entries cut off, nine in ten of these draws hit a VM that is cut off as well, and wait for a time-out.

Change: decide::relay_map keeps which VMs reach a placer, by reports that are pulled from three peers at a time while calls need a relay (message `reach`). Asks, ends of grants and quota requests use it.

--- a/crates/fleet/src/driver/quotas.rs
+++ b/crates/fleet/src/driver/quotas.rs
@@ -16,6 +16,7 @@
         owner::QuotaOwner,
     },
     reach::ReachMemory,
+    relay_map::RelayOutcome,
 };
 use log::info;
 use model::{
@@ -35,6 +36,9 @@
 const OWNER_TIMEOUT: Duration = Duration::from_millis(100);
 const RELAY_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long reports of a relay are waited for.
+const RELAY_WAIT: Duration = Duration::from_millis(100);
+
 /// A call that waits for its customer's owner.
 #[derive(Debug)]
 struct ParkedAsk {
@@ -132,26 +136,27 @@
         let answer = self.shared.links.call(address, OWNER_TIMEOUT, call);
         let answer = timeout(OWNER_TIMEOUT, answer).await.ok().and_then(Result::ok);
         match &answer {
-            Some(_) => self.reach().answered(&self.owner),
+            Some(_) => {
+                self.reach().answered(&self.owner);
+                self.shared.relays.reached(&self.owner);
+            }
             None => self.reach().missed(&self.owner, self.shared.now()),
         }
         answer
     }
 
     async fn relayed(&self, requests: &[(CallerName, QuotaRequest)]) -> OwnerAnswer {
-        let view = self.shared.view.load_full();
-        let known = self.reach().relay(&self.owner).cloned();
-        let known = known.and_then(|relay| Some((relay.clone(), view.member(&relay)?.address)));
-        let drawn = || view.relay(&self.shared.member, &self.owner, self.shared.now().as_micros());
-        let (relay, address) =
-            known.or_else(|| drawn().map(|relay| (relay.member.clone(), relay.address)))?;
+        let drawn = || self.shared.draw_relay(&self.owner, self.shared.now().as_micros());
+        let relay = self.shared.relay_to(&self.owner, &[], RELAY_WAIT).await.or_else(drawn)?;
         let (own, to, asked) = (self.shared.member.clone(), self.owner.clone(), requests.to_vec());
         let call = |client: FleetPeerClient, context| async move {
             client.relay_quota(context, to, own, asked).await
         };
-        let answer = self.shared.links.call(address, RELAY_TIMEOUT, call);
+        let answer = self.shared.links.call(relay.address, RELAY_TIMEOUT, call);
         let answer = timeout(RELAY_TIMEOUT, answer).await.ok().and_then(Result::ok).flatten();
-        self.reach().relayed(&self.owner, &relay, answer.is_some());
+        let worked = answer.is_some();
+        let outcome = if worked { RelayOutcome::Worked } else { RelayOutcome::Failed };
+        self.shared.relays.ended(&relay, outcome, self.shared.now());
         answer
     }
 }
