--- a/crates/fleet/src/driver/quotas.rs
+++ b/crates/fleet/src/driver/quotas.rs
@@ -19,7 +19,7 @@
 };
 use log::info;
 use model::{
-    call::CallRefusal,
+    call::{CallRefusal, RefusalReason},
     config::FleetConfig,
     moment::Moment,
     names::{CallerName, MemberName},
@@ -35,6 +35,9 @@
 pub(super) const OWNER_TIMEOUT: Duration = Duration::from_millis(100);
 pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// When a call is worth sending again that found no VM which may give out quotas.
+const NO_OWNER_RETRY_MS: u32 = 1_000;
+
 /// A call that waits for its customer's owner.
 #[derive(Debug)]
 struct ParkedAsk {
@@ -179,10 +182,15 @@
         let Some(terms) = counted.then(|| terms_of(&config, &customer)).flatten() else {
             return self.place(ask, reply, arrived, now);
         };
-        let members = self.shared.view.load().reached();
+        let view = self.shared.view.load();
+        if !view.owns_quotas() {
+            let refusal = CallRefusal::passing(RefusalReason::NotReady, NO_OWNER_RETRY_MS);
+            return self.refuse_metered(&ask, reply, refusal, now);
+        }
+        let members = view.reached();
         match self.quotas.holder.take(&customer, &terms, members, now) {
             QuotaVerdict::Allowed => self.place_counted(ask, reply, arrived, now),
-            QuotaVerdict::Refused(refusal) => self.over_quota(&ask, reply, refusal, now),
+            QuotaVerdict::Refused(refusal) => self.refuse_metered(&ask, reply, refusal, now),
             QuotaVerdict::Waits => {
                 let parked = self.quotas.parked.entry(customer).or_default();
                 parked.push_back(ParkedAsk { ask, reply, arrived });
@@ -197,7 +205,7 @@
         self.place(ask, reply, arrived, now);
     }
 
-    fn over_quota(&self, ask: &PlacerAsk, reply: AskReply, refusal: CallRefusal, now: Moment) {
+    fn refuse_metered(&self, ask: &PlacerAsk, reply: AskReply, refusal: CallRefusal, now: Moment) {
         let (call, customer) = (ask.ask.call, &ask.ask.caller);
         let left = self.quotas.holder.left(customer, now).unwrap_or_default();
         info!(call:%, entry:% = ask.entry, service:% = ask.ask.service, customer:%,
@@ -329,7 +337,7 @@
         for refusal in answered.refused {
             let parked = self.quotas.parked.get_mut(customer).and_then(VecDeque::pop_front);
             let Some(ParkedAsk { ask, reply, .. }) = parked else { continue };
-            self.over_quota(&ask, reply, refusal, now);
+            self.refuse_metered(&ask, reply, refusal, now);
         }
         if self.quotas.parked.get(customer).is_some_and(VecDeque::is_empty) {
             self.quotas.parked.remove(customer);
