fleet: an ask without an answer goes by another path and gets one grant

Cause: an ask whose path gave no answer could not be sent by another one, since the placer would have refused it as a copy. Its call was placed without the placer. While a placer was out of reach, one call in each pause of 0.3 to 1.2 s also waited for a time-out on the direct path.

--- a/crates/fleet/src/driver/quotas.rs
+++ b/crates/fleet/src/driver/quotas.rs
@@ -72,6 +72,24 @@
         }
     }
 
+    /// Answers on a new path where the ask waits for its customer's owner. Gives the reply of any other ask
+    /// back.
+    pub(super) fn repeated(&mut self, ask: &PlacerAsk, reply: AskReply) -> Option<AskReply> {
+        let Some(parked) = self.parked.get_mut(&ask.ask.caller) else { return Some(reply) };
+        let same = |other: &&mut ParkedAsk| {
+            let other = &other.ask;
+            other.entry == ask.entry
+                && other.life == ask.life
+                && other.ask.call == ask.ask.call
+                && other.ask.attempt == ask.ask.attempt
+        };
+        let Some(parked) = parked.iter_mut().find(same) else { return Some(reply) };
+        let former = std::mem::replace(&mut parked.reply, reply);
+        // The entry has given the former path up.
+        let _ = former.send(Err(AskFault::NotRelayed));
+        None
+    }
+
     /// Notes that a counted ask has a slot.
     pub(super) fn spent(&mut self, id: &AskId) {
         self.charged.remove(id);
