--- a/review/standin/src/bin/case1.rs
+++ b/review/standin/src/bin/case1.rs
@@ -5,7 +5,7 @@
 use std::{
     collections::BTreeMap,
     path::Path,
-    sync::Arc,
+    sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
@@ -36,6 +36,14 @@
     matching.max_by_key(|(prefix, _)| prefix.len()).is_some_and(|(_, is_unsafe)| *is_unsafe)
 }
 
+/// Each server calls another control machine first.
+fn control_list(fleet: &Fleet, place: usize) -> Arc<Mutex<Vec<std::net::SocketAddr>>> {
+    let mut list = fleet.control();
+    let first = place % list.len();
+    list.rotate_left(first);
+    Arc::new(Mutex::new(list))
+}
+
 fn main() {
     let folder = std::env::args().nth(1).unwrap_or_else(|| "review/1".to_owned());
     let record = Record::create(&Path::new(&folder).join("record.txt")).expect("a record");
@@ -71,7 +79,7 @@
             zone: ZONES[place % ZONES.len()].to_owned(),
             slots: 4,
             work: Duration::from_millis(20),
-            control: fleet.control(),
+            control: control_list(&fleet, place),
             heartbeat: HEARTBEAT,
         };
         let server = Server::spawn(parts, runs.clone(), record.clone(), ending.clone());
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -37,6 +37,10 @@
     zone: &'static str,
     front: bool,
     process: Option<Child>,
+    /// Where it is told that `control` is served.
+    seeds: Vec<String>,
+    /// Whether it belongs to those with which the whole system starts.
+    founding: bool,
     starts: u32,
 }
 
@@ -47,7 +51,6 @@
     net: (u8, u8),
     ports: Ports,
     machines: BTreeMap<String, Machine>,
-    seeds: Vec<String>,
     commands: (String, String),
     record: Record,
 }
@@ -73,7 +76,16 @@
             let zone = ZONES[place % ZONES.len()];
             let name = format!("{kind}-{zone}-{}", place / ZONES.len() + 1);
             let ip = format!("127.{}.{}.{}", net.0, net.1, place + if front { 50 } else { 10 });
-            let machine = Machine { name: name.clone(), ip, zone, front, process: None, starts: 0 };
+            let machine = Machine {
+                name: name.clone(),
+                ip,
+                zone,
+                front,
+                process: None,
+                seeds: Vec::new(),
+                founding: true,
+                starts: 0,
+            };
             machines.insert(name, machine);
         };
         (0..cores).for_each(|place| add(false, place));
@@ -81,6 +93,7 @@
         let control = machines.values().filter(|machine| !machine.front);
         let seeds: Vec<String> =
             control.take(3).map(|machine| format!("{}:{}", machine.ip, ports.control)).collect();
+        machines.values_mut().for_each(|machine| machine.seeds = seeds.clone());
         let commands = (command(root, "entry")?, command(root, "control")?);
         Ok(Self {
             root: root.to_owned(),
@@ -88,7 +101,6 @@
             net,
             ports,
             machines,
-            seeds,
             commands,
             record: record.clone(),
         })
@@ -113,6 +125,42 @@
         format!("{}:{port}", machine.ip).parse().unwrap()
     }
 
+    /// Adds a core machine that is empty, at a new address, in the zone of another one. `seeds`: the
+    /// addresses of machines that it is told of.
+    pub fn add_core(&mut self, name: &str, beside: &str, place: u8, seeds: &[String]) {
+        let zone = self.machines[beside].zone;
+        let ip = format!("127.{}.{}.{place}", self.net.0, self.net.1);
+        let seeds = seeds.iter().map(|ip| format!("{ip}:{}", self.ports.control)).collect();
+        let machine = Machine {
+            name: name.to_owned(),
+            ip,
+            zone,
+            front: false,
+            process: None,
+            seeds,
+            founding: false,
+            starts: 0,
+        };
+        self.machines.insert(name.to_owned(), machine);
+    }
+
+    /// Lists the addresses that machines were told of at their first start.
+    pub fn seed_ips(&self) -> Vec<String> {
+        let first = self.machines.values().next().expect("there are machines");
+        let ip = |seed: &String| seed.split(':').next().unwrap_or_default().to_owned();
+        first.seeds.iter().map(ip).collect()
+    }
+
+    /// Returns the address between machines for an address of this deployment's network.
+    pub fn internal(&self, ip: &str) -> SocketAddr {
+        format!("{ip}:{}", self.ports.internal).parse().unwrap()
+    }
+
+    /// Returns an address of this deployment's network that no machine has.
+    pub fn spare_ip(&self, place: u8) -> String {
+        format!("127.{}.{}.{place}", self.net.0, self.net.1)
+    }
+
     /// Lists where `control` is served.
     pub fn control(&self) -> Vec<SocketAddr> {
         self.names(false).iter().map(|name| self.address(name)).collect()
@@ -158,12 +206,12 @@
     }
 
     fn settings(&self, machine: &Machine) -> String {
-        let Machine { name, ip, zone, front, starts, .. } = machine;
+        let Machine { name, ip, zone, front, seeds, founding, starts, .. } = machine;
         let Ports { front: to_front, ready, control, internal } = self.ports;
         let (class, serves) = if *front { ("front", "front") } else { ("core", "control") };
         let role = if *front { "entry" } else { "control" };
-        let bootstrap = *starts == 0;
-        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let bootstrap = *founding && *starts == 0;
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let listen = match front {
             true => format!("front = \"{ip}:{to_front}\"\nready = \"{ip}:{ready}\"\n"),
             false => format!("control = \"{ip}:{control}\"\n"),
@@ -206,6 +254,13 @@
         }
     }
 
+    /// Stops a machine's process as planned: sends it SIGTERM.
+    pub fn terminate(&mut self, name: &str) {
+        let Some(pid) = self.process(name) else { return };
+        let sent = Command::new("kill").args(["-TERM", &pid.to_string()]).status();
+        self.record.line(format!("platform: {name} gets SIGTERM ({})", sent.is_ok_and(|it| it.success())));
+    }
+
     /// Returns the process of a machine.
     pub fn process(&self, name: &str) -> Option<u32> {
         self.machines[name].process.as_ref().map(Child::id)
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod fleet;
 pub mod http;
+pub mod proxy;
 pub mod record;
 pub mod server;
 
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -42,6 +42,15 @@
 /// Tells how the run of a request ends: its number at this server, from 0, and the request.
 pub type EndingOf = Arc<dyn Fn(u64, &Message) -> Ending + Send + Sync>;
 
+/// Which of its answers a faulty server hands out a second time.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Extra {
+    None,
+    /// A refusal of a request that was meant for another instance. The copy arrives late: when the next
+    /// request on the connection is at work.
+    CopyOfRefusal,
+}
+
 /// What a server is.
 #[derive(Clone)]
 pub struct ServerParts {
@@ -51,8 +60,8 @@
     pub zone: String,
     pub slots: u32,
     pub work: Duration,
-    /// The addresses that serve `control`.
-    pub control: Vec<SocketAddr>,
+    /// The addresses that serve `control`, in the order in which this server calls them.
+    pub control: Arc<Mutex<Vec<SocketAddr>>>,
     pub heartbeat: Duration,
 }
 
@@ -63,6 +72,10 @@
     runs: Runs,
     record: Record,
     ending: EndingOf,
+    extra: Extra,
+    refusals: Arc<AtomicU64>,
+    copies: Arc<AtomicU64>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
     pub draining: Arc<AtomicBool>,
     pub ended: Arc<AtomicBool>,
     number: Arc<AtomicU64>,
@@ -76,6 +89,17 @@
         runs: Runs,
         record: Record,
         ending: EndingOf,
+    ) -> std::io::Result<Self> {
+        Self::spawn_with(parts, runs, record, ending, Extra::None)
+    }
+
+    /// Does the same for a server that hands out some answers twice.
+    pub fn spawn_with(
+        parts: ServerParts,
+        runs: Runs,
+        record: Record,
+        ending: EndingOf,
+        extra: Extra,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(parts.address)?;
         let server = Self {
@@ -83,6 +107,10 @@
             runs,
             record,
             ending,
+            extra,
+            refusals: Arc::default(),
+            copies: Arc::default(),
+            open: Arc::default(),
             draining: Arc::default(),
             ended: Arc::default(),
             number: Arc::default(),
@@ -122,34 +150,95 @@
              \"sequence\":{sequence}}}"
         );
         let first = format!("POST /upstreams/{id}/announce HTTP/1.1");
-        let start = sequence as usize;
-        for turn in 0..self.parts.control.len() {
-            let control = self.parts.control[(start + turn) % self.parts.control.len()];
+        // It stays with the machine that acknowledged last, and moves on after a failure.
+        let list = self.parts.control.lock().unwrap().clone();
+        for control in list {
             let host = control.to_string();
             let headers = [("Host", host.as_str()), ("Content-Type", "application/json")];
             let told = call(control, &first, &headers, body.as_bytes(), Duration::from_secs(1));
             if told.is_ok_and(|answer| answer.status() / 100 == 2) {
                 return Some(control);
             }
+            let mut list = self.parts.control.lock().unwrap();
+            if list.first() == Some(&control) {
+                list.rotate_left(1);
+            }
         }
         None
     }
 
+    /// Reports that it leaves, until a machine acknowledges that, and goes on saying so. Returns when
+    /// and where it was acknowledged.
+    pub fn drain(&self) -> Option<(Instant, SocketAddr)> {
+        self.draining.store(true, Ordering::SeqCst);
+        let by = (0..5).find_map(|_| self.announce("draining"))?;
+        let acknowledged = Instant::now();
+        self.record.line(format!("server {} reports draining: acknowledged at {by}", self.parts.id));
+        let draining = self.clone();
+        thread::spawn(move || {
+            thread::sleep(draining.parts.heartbeat);
+            while !draining.ended.load(Ordering::SeqCst) {
+                draining.announce("draining");
+                thread::sleep(draining.parts.heartbeat);
+            }
+        });
+        Some((acknowledged, by))
+    }
+
+    /// Says that it is gone and ends.
+    pub fn leave(&self) {
+        let first = format!("POST /upstreams/{}/leave HTTP/1.1", self.parts.id);
+        let list = self.parts.control.lock().unwrap().clone();
+        let told = list.into_iter().find(|control| {
+            let host = control.to_string();
+            let sent = call(*control, &first, &[("Host", &host)], b"", Duration::from_secs(1));
+            sent.is_ok_and(|answer| answer.status() / 100 == 2)
+        });
+        self.record.line(format!("server {} leaves: acknowledged at {told:?}", self.parts.id));
+        self.ended.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts, so that it closes the port.
+        let _ = TcpStream::connect(self.parts.address);
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(reading) = stream.try_clone() else { return };
         let _ = reading.set_read_timeout(Some(Duration::from_secs(10)));
+        if let Ok(copy) = stream.try_clone() {
+            self.open.lock().unwrap().push(copy);
+        }
         let mut reader = Reader::new(reading);
+        let mut owed = None;
         while let Ok(request) = reader.request() {
-            if self.ended.load(Ordering::SeqCst) || !self.answer(&stream, &request) {
+            if self.ended.load(Ordering::SeqCst) || !self.answer(&stream, &request, &mut owed) {
                 break;
             }
         }
         let _ = stream.shutdown(Shutdown::Both);
     }
 
-    /// Answers one request. `false`: the connection ends.
-    fn answer(&self, stream: &TcpStream, request: &Message) -> bool {
+    /// Ends without a word, with all its connections.
+    pub fn crash(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.parts.address);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Returns how many requests were refused that were meant for another instance.
+    pub fn refusals(&self) -> u64 {
+        self.refusals.load(Ordering::SeqCst)
+    }
+
+    /// Returns how many of these refusals were handed out twice.
+    pub fn copies(&self) -> u64 {
+        self.copies.load(Ordering::SeqCst)
+    }
+
+    /// Answers one request. `false`: the connection ends. `owed`: an answer that is to be handed out
+    /// once more on this connection.
+    fn answer(&self, stream: &TcpStream, request: &Message, owed: &mut Option<&'static str>) -> bool {
         let id = self.parts.id.as_str();
         if request.word(1) == "/health" {
             let well = !self.draining.load(Ordering::SeqCst);
@@ -159,6 +248,15 @@
         }
         if request.header("expect-instance").is_some_and(|meant| meant != id) {
             let first = "HTTP/1.1 421 Misdirected Request";
+            self.refusals.fetch_add(1, Ordering::SeqCst);
+            self.record.line(format!(
+                "server {id} refuses {:?}, meant for {:?}",
+                request.header("request-id"),
+                request.header("expect-instance")
+            ));
+            if self.extra == Extra::CopyOfRefusal {
+                *owed = Some(first);
+            }
             return send(stream, first, &[("Instance-Id", id)], b"").is_ok();
         }
         let Some(name) = request.header("request-id") else {
@@ -179,7 +277,17 @@
             run.service, run.method, run.path, run.request
         ));
         self.runs.lock().unwrap().push(run);
+        if let Some(first) = owed.take() {
+            self.copies.fetch_add(1, Ordering::SeqCst);
+            self.record.line(format!("server {id}: the second copy of an earlier answer arrives, while it runs {name}"));
+            if send(stream, first, &[("Instance-Id", id)], b"").is_err() {
+                return false;
+            }
+        }
         thread::sleep(self.parts.work);
+        if self.ended.load(Ordering::SeqCst) {
+            return false;
+        }
         let stamp = format!("{id}.{number}");
         let body = format!("{id} {name}\n");
         let answer = || {
