--- a/review/standin/src/bin/case1.rs
+++ b/review/standin/src/bin/case1.rs
@@ -25,9 +25,9 @@
 "services":[{"name":"judgebox","healthCheckPath":"/health","maxConnections":390,"protocol":"h1","tls":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
-/// How many submissions are sent, and of how many the answer is lost: 1 in 20.
+/// How many submissions are sent. At two servers of four the answer to 1 in 10 is lost.
 const SUBMISSIONS: u32 = 100;
-const LOST_ONE_IN: u64 = 20;
+const LOST_ONE_IN: u64 = 10;
 
 /// The route of a path by the users' page: the longest prefix that begins the path.
 fn is_unsafe(path: &str) -> bool {
@@ -65,11 +65,11 @@
     }
     let runs = Runs::default();
     let trouble = trouble();
-    // At each server the answer to one submission in twenty is lost, where there is trouble.
-    let ending: EndingOf = Arc::new(move |number, request: &Message| {
+    let losing: EndingOf = Arc::new(move |number, request: &Message| {
         let is_lost = number % LOST_ONE_IN == LOST_ONE_IN - 1 && request.word(0) == "PUT";
         if trouble && is_lost { Ending::Lost } else { Ending::Answer }
     });
+    let sound: EndingOf = Arc::new(|_, _| Ending::Answer);
     let mut servers = Vec::new();
     for place in 0..4 {
         let parts = ServerParts {
@@ -82,7 +82,8 @@
             control: control_list(&fleet, place),
             heartbeat: HEARTBEAT,
         };
-        let server = Server::spawn(parts, runs.clone(), record.clone(), ending.clone());
+        let ending = if place % 2 == 0 { losing.clone() } else { sound.clone() };
+        let server = Server::spawn(parts, runs.clone(), record.clone(), ending);
         servers.push(server.map_err(|error| error.to_string())?);
     }
     if !fleet.wait_ready(Duration::from_secs(20)) {
--- a/review/standin/src/bin/case2.rs
+++ b/review/standin/src/bin/case2.rs
@@ -19,7 +19,7 @@
     fleet::{Fleet, HEARTBEAT, ZONES},
     http::call,
     record::Record,
-    server::{Ending, EndingOf, Extra, Runs, Server, ServerParts},
+    server::{Ending, EndingOf, Extra, Faults, Runs, Server, ServerParts},
     trouble,
 };
 
@@ -31,8 +31,16 @@
 /// How long a crashed server is down: less than the 4.5 s of the site file.
 const DOWN: Duration = Duration::from_millis(1_500);
 
+/// How long the next crash is away when a server is back.
+const BACK: Duration = Duration::from_millis(4_000);
+
 /// How many clients press, each with one request at a time.
-const CLIENTS: usize = 14;
+const CLIENTS: usize = 28;
+
+const SERVERS: usize = 8;
+
+/// Which servers crash, one after the other. These two of eight are those that spoil answers.
+const CRASHES: [usize; 6] = [0, 1, 0, 1, 0, 1];
 
 fn main() {
     let folder = std::env::args().nth(1).unwrap_or_else(|| "review/2".to_owned());
@@ -95,12 +103,13 @@
             control: Arc::new(Mutex::new(control)),
             heartbeat: HEARTBEAT,
         };
-        let server = Server::spawn_with(parts, runs.clone(), record.clone(), ending.clone(), extra);
+        let faults = Faults { extra, ..Faults::none() };
+        let server = Server::spawn_with(parts, runs.clone(), record.clone(), ending.clone(), faults);
         server.map_err(|error| error.to_string())
     };
     let mut servers = Vec::new();
-    for place in 0..4 {
-        servers.push(spawn(&format!("i-life{place}a"), place, Extra::None)?);
+    for place in 0..SERVERS {
+        servers.push(spawn(&format!("i-fees{place}-0"), place, Extra::None)?);
     }
     if !fleet.wait_ready(Duration::from_secs(20)) {
         return Err("the front machines did not get ready".to_owned());
@@ -116,19 +125,21 @@
     thread::sleep(Duration::from_secs(4));
     // One server after the other crashes and is back. `TROUBLE=crash`: none hands out an answer twice.
     let crashes_alone = std::env::var("TROUBLE").is_ok_and(|value| value == "crash");
+    let mut ended = Vec::new();
     let extra = if trouble() && !crashes_alone { Extra::CopyOfRefusal } else { Extra::None };
-    for place in 0..4 {
+    for (life, place) in CRASHES.into_iter().enumerate() {
         if !trouble() {
-            thread::sleep(DOWN + Duration::from_secs(4));
+            thread::sleep(DOWN + BACK);
             continue;
         }
         servers[place].crash();
         record.line(format!("server {} crashes", servers[place].parts.id));
         thread::sleep(DOWN);
-        let next = format!("i-life{place}b");
-        servers[place] = spawn(&next, place, extra)?;
+        let next = format!("i-fees{place}-{}", life + 1);
+        let before = std::mem::replace(&mut servers[place], spawn(&next, place, extra)?);
+        ended.push(before);
         record.line(format!("server {next} starts at the same address"));
-        thread::sleep(Duration::from_secs(4));
+        thread::sleep(BACK);
     }
     stop.store(true, Ordering::SeqCst);
     let (mut served, mut not) = (0, 0);
@@ -143,8 +154,9 @@
         counts.entry(run.request.clone()).or_default().push(run.server.clone());
     }
     let twice: Vec<_> = counts.iter().filter(|(_, servers)| servers.len() > 1).collect();
-    let refusals: u64 = servers.iter().map(Server::refusals).sum();
-    let copies: u64 = servers.iter().map(Server::copies).sum();
+    let lives = || servers.iter().chain(&ended);
+    let refusals: u64 = lives().map(Server::refusals).sum();
+    let copies: u64 = lives().map(Server::copies).sum();
     record.say(format!(
         "{} unsafe requests, {served} answered 200, {not} otherwise; {refusals} answers 421, {copies} of them twice; \
          {} ran, {} ran more than once",
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -254,6 +254,17 @@
         }
     }
 
+    /// Takes a machine off the lists, for good.
+    pub fn remove(&mut self, name: &str) {
+        self.kill(name);
+        self.machines.remove(name);
+    }
+
+    /// Empties a machine's disk.
+    pub fn wipe(&self, name: &str) {
+        let _ = fs::remove_dir_all(self.folder.join(format!("{name}.data")));
+    }
+
     /// Stops a machine's process as planned: sends it SIGTERM.
     pub fn terminate(&mut self, name: &str) {
         let Some(pid) = self.process(name) else { return };
@@ -272,10 +283,14 @@
         child.try_wait().ok().flatten().map(|status| status.to_string())
     }
 
+    /// Returns where the balancer asks a front machine.
+    pub fn ready_address(&self, name: &str) -> SocketAddr {
+        format!("{}:{}", self.machines[name].ip, self.ports.ready).parse().unwrap()
+    }
+
     /// Tells whether a front machine says that it is ready.
     pub fn is_ready(&self, name: &str) -> bool {
-        let address = format!("{}:{}", self.machines[name].ip, self.ports.ready);
-        let Ok(address) = address.parse() else { return false };
+        let address = self.ready_address(name);
         let asked = call(
             address,
             "GET /readiness HTTP/1.1",
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -136,6 +136,36 @@
     }
 }
 
+/// A connection of a client that is kept for more than one request.
+pub struct Connection {
+    stream: TcpStream,
+    reader: Reader,
+}
+
+impl Connection {
+    pub fn open(address: SocketAddr, within: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(within))?;
+        Ok(Self { reader: Reader::new(stream.try_clone()?), stream })
+    }
+
+    /// Tells whether the other end has closed it, as far as it is known here.
+    pub fn is_closed(&self) -> bool {
+        let mut one = [0];
+        let _ = self.stream.set_nonblocking(true);
+        let seen = self.stream.peek(&mut one);
+        let _ = self.stream.set_nonblocking(false);
+        !seen.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Sends a request and reads its answer.
+    pub fn call(&mut self, first: &str, headers: &[(&str, &str)]) -> io::Result<Message> {
+        send(&self.stream, first, headers, b"")?;
+        self.reader.answer()
+    }
+}
+
 /// Sends one request on a connection of its own and reads the answer.
 pub fn call(
     address: SocketAddr,
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -49,6 +49,27 @@
     /// A refusal of a request that was meant for another instance. The copy arrives late: when the next
     /// request on the connection is at work.
     CopyOfRefusal,
+    /// Refusals for load, as long as the copies are no more than so many of 1,000 answers. The copy arrives
+    /// late, in the same way.
+    CopyOfShed { per_mille: u64 },
+}
+
+/// Tells whether a server refuses a request for load: its number at this server, from 0.
+pub type Sheds = Arc<dyn Fn(u64) -> bool + Send + Sync>;
+
+/// What is wrong with a server.
+#[derive(Clone)]
+pub struct Faults {
+    pub extra: Extra,
+    /// Whether answers are spoiled at present.
+    pub spoils: Arc<dyn Fn() -> bool + Send + Sync>,
+    pub sheds: Sheds,
+}
+
+impl Faults {
+    pub fn none() -> Self {
+        Self { extra: Extra::None, spoils: Arc::new(|| true), sheds: Arc::new(|_| false) }
+    }
 }
 
 /// What a server is.
@@ -72,7 +93,12 @@
     runs: Runs,
     record: Record,
     ending: EndingOf,
-    extra: Extra,
+    faults: Faults,
+    asked: Arc<AtomicU64>,
+    sheds: Arc<AtomicU64>,
+    /// Answers that were given while answers are spoiled, and copies that were promised.
+    answered: Arc<AtomicU64>,
+    owed: Arc<AtomicU64>,
     refusals: Arc<AtomicU64>,
     copies: Arc<AtomicU64>,
     open: Arc<Mutex<Vec<TcpStream>>>,
@@ -90,16 +116,16 @@
         record: Record,
         ending: EndingOf,
     ) -> std::io::Result<Self> {
-        Self::spawn_with(parts, runs, record, ending, Extra::None)
+        Self::spawn_with(parts, runs, record, ending, Faults::none())
     }
 
-    /// Does the same for a server that hands out some answers twice.
+    /// Does the same for a server with faults.
     pub fn spawn_with(
         parts: ServerParts,
         runs: Runs,
         record: Record,
         ending: EndingOf,
-        extra: Extra,
+        faults: Faults,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(parts.address)?;
         let server = Self {
@@ -107,7 +133,11 @@
             runs,
             record,
             ending,
-            extra,
+            faults,
+            asked: Arc::default(),
+            sheds: Arc::default(),
+            answered: Arc::default(),
+            owed: Arc::default(),
             refusals: Arc::default(),
             copies: Arc::default(),
             open: Arc::default(),
@@ -226,19 +256,61 @@
         }
     }
 
+    /// Refuses a request for load.
+    fn shed(&self, stream: &TcpStream, name: &str, owed: &mut Option<String>) -> bool {
+        if !self.hand_out(stream, name, owed) {
+            return false;
+        }
+        self.sheds.fetch_add(1, Ordering::SeqCst);
+        let first = "HTTP/1.1 503 Service Unavailable";
+        self.record.line(format!("server {} refuses {name} for load", self.parts.id));
+        if let Extra::CopyOfShed { per_mille } = self.faults.extra
+            && (self.faults.spoils)()
+            && (self.owed.load(Ordering::SeqCst) + 1) * 1_000 <= self.answered.load(Ordering::SeqCst) * per_mille
+        {
+            self.owed.fetch_add(1, Ordering::SeqCst);
+            *owed = Some(format!(
+                "{first}\r\nRequest-Id: {name}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            ));
+        }
+        send(stream, first, &[("Request-Id", name), ("Not-Executed", "1")], b"").is_ok()
+    }
+
+    /// Hands out the second copy of an earlier answer, if one is owed, while the request `name` is at
+    /// work. `false`: the connection has ended.
+    fn hand_out(&self, stream: &TcpStream, name: &str, owed: &mut Option<String>) -> bool {
+        let Some(copy) = owed.take() else { return true };
+        self.copies.fetch_add(1, Ordering::SeqCst);
+        let id = &self.parts.id;
+        self.record.line(format!("server {id}: the second copy of an earlier answer arrives, while {name} is there"));
+        use std::io::Write;
+        let mut stream = stream;
+        stream.write_all(copy.as_bytes()).is_ok()
+    }
+
+    /// Returns how many requests it was asked to run, and how many of them it refused for load.
+    pub fn asked(&self) -> (u64, u64) {
+        (self.asked.load(Ordering::SeqCst), self.sheds.load(Ordering::SeqCst))
+    }
+
+    /// Returns how many answers it gave while answers are spoiled.
+    pub fn answered(&self) -> u64 {
+        self.answered.load(Ordering::SeqCst)
+    }
+
     /// Returns how many requests were refused that were meant for another instance.
     pub fn refusals(&self) -> u64 {
         self.refusals.load(Ordering::SeqCst)
     }
 
-    /// Returns how many of these refusals were handed out twice.
+    /// Returns how many refusals were handed out twice.
     pub fn copies(&self) -> u64 {
         self.copies.load(Ordering::SeqCst)
     }
 
     /// Answers one request. `false`: the connection ends. `owed`: an answer that is to be handed out
     /// once more on this connection.
-    fn answer(&self, stream: &TcpStream, request: &Message, owed: &mut Option<&'static str>) -> bool {
+    fn answer(&self, stream: &TcpStream, request: &Message, owed: &mut Option<String>) -> bool {
         let id = self.parts.id.as_str();
         if request.word(1) == "/health" {
             let well = !self.draining.load(Ordering::SeqCst);
@@ -254,8 +326,8 @@
                 request.header("request-id"),
                 request.header("expect-instance")
             ));
-            if self.extra == Extra::CopyOfRefusal {
-                *owed = Some(first);
+            if self.faults.extra == Extra::CopyOfRefusal {
+                *owed = Some(format!("{first}\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n"));
             }
             return send(stream, first, &[("Instance-Id", id)], b"").is_ok();
         }
@@ -263,6 +335,13 @@
             let first = "HTTP/1.1 400 Bad Request";
             return send(stream, first, &[("Not-Executed", "1")], b"").is_ok();
         };
+        let asked = self.asked.fetch_add(1, Ordering::SeqCst);
+        if (self.faults.spoils)() {
+            self.answered.fetch_add(1, Ordering::SeqCst);
+        }
+        if (self.faults.sheds)(asked) {
+            return self.shed(stream, name, owed);
+        }
         let number = self.number.fetch_add(1, Ordering::SeqCst);
         let run = Run {
             at: Instant::now(),
@@ -277,12 +356,8 @@
             run.service, run.method, run.path, run.request
         ));
         self.runs.lock().unwrap().push(run);
-        if let Some(first) = owed.take() {
-            self.copies.fetch_add(1, Ordering::SeqCst);
-            self.record.line(format!("server {id}: the second copy of an earlier answer arrives, while it runs {name}"));
-            if send(stream, first, &[("Instance-Id", id)], b"").is_err() {
-                return false;
-            }
+        if !self.hand_out(stream, name, owed) {
+            return false;
         }
         thread::sleep(self.parts.work);
         if self.ended.load(Ordering::SeqCst) {
