--- a/review/standin/src/bin/case2.rs
+++ b/review/standin/src/bin/copied_refusal.rs
@@ -1,6 +1,7 @@
-//! Case 2. A server crashes and is back at its address with a new id. A request that was meant for its
-//! earlier life is refused there with 421. The server hands out a second copy of that answer, which
-//! arrives late: when the next request on the connection is at work. That request must not run again.
+//! Not one of the three cases, see REPORT.md. A server crashes and is back at its address with a new id.
+//! A request that was meant for its earlier life is refused there with 421. The server hands out a second
+//! copy of that answer, which arrives late: when the next request on the connection is at work. That
+//! request must not run again.
 
 use std::{
     collections::BTreeMap,
@@ -43,7 +44,7 @@
 const CRASHES: [usize; 6] = [0, 1, 0, 1, 0, 1];
 
 fn main() {
-    let folder = std::env::args().nth(1).unwrap_or_else(|| "review/2".to_owned());
+    let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
     let record = Record::create(&Path::new(&folder).join("record.txt")).expect("a record");
     let verdict = run(&record).unwrap_or_else(Verdict::CouldNotRun);
     match &verdict {
--- a/review/standin/src/bin/planned_stop.rs
+++ b/review/standin/src/bin/planned_stop.rs
@@ -1,5 +1,5 @@
-//! A front machine is stopped as planned while requests of its clients wait for a slot of a busy
-//! service. Each of them has to be answered, if only by a refusal.
+//! Not one of the three cases, see REPORT.md. A front machine is stopped as planned while requests of its
+//! clients wait for a slot of a busy service. Each of them has to be answered, if only by a refusal.
 
 use std::{
     net::SocketAddr,
@@ -58,7 +58,7 @@
 }
 
 fn main() {
-    let folder = std::env::args().nth(1).unwrap_or_else(|| "review/3".to_owned());
+    let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
     let record = Record::create(&Path::new(&folder).join("record.txt")).expect("a record");
     let verdict = run(&record).unwrap_or_else(Verdict::CouldNotRun);
     match &verdict {
