--- a/review/standin/src/bin/case3.rs
+++ b/review/standin/src/bin/case3.rs
@@ -54,7 +54,13 @@
 }
 
 /// Sends requests to a front machine until told to stop, one after the other.
-fn press(front: SocketAddr, seed: u64, stop: Arc<AtomicBool>, record: Record, tally: Arc<[AtomicU64; 2]>) {
+fn press(
+    front: SocketAddr,
+    seed: u64,
+    stop: Arc<AtomicBool>,
+    record: Record,
+    tally: Arc<[AtomicU64; 2]>,
+) {
     let mut number = 0;
     while !stop.load(Ordering::SeqCst) {
         number += 1;
@@ -80,9 +86,8 @@
 /// Returns the server that has run most in the last two seconds.
 fn busiest(servers: &[Server], runs: &Runs) -> Server {
     let runs = runs.lock().unwrap();
-    let lately = |id: &str| {
-        runs.iter().filter(|run| run.server == id && run.at.elapsed() < DRAIN).count()
-    };
+    let lately =
+        |id: &str| runs.iter().filter(|run| run.server == id && run.at.elapsed() < DRAIN).count();
     servers.iter().max_by_key(|server| lately(&server.parts.id)).expect("there are servers").clone()
 }
 
@@ -145,7 +150,10 @@
     fleet.start(new)?;
     let started = Instant::now();
     let new_control = fleet.address(new);
-    record.line(format!("platform: {gone} is gone, {new} takes its place at {new_control}, cut off: {}", trouble()));
+    record.line(format!(
+        "platform: {gone} is gone, {new} takes its place at {new_control}, cut off: {}",
+        trouble()
+    ));
     let listening = || std::net::TcpStream::connect(new_control).is_ok();
     if !wait_until(Duration::from_secs(3), listening) {
         return Err("the new machine does not serve control".to_owned());
@@ -164,8 +172,11 @@
         return Err("no machine acknowledged that the server leaves".to_owned());
     };
     let at = started.elapsed();
-    record.say(format!("draining acknowledged {:.2} s after the start of the new machine, by {}", at.as_secs_f64(),
-        if by == new_control { "that machine" } else { "another" }));
+    record.say(format!(
+        "draining acknowledged {:.2} s after the start of the new machine, by {}",
+        at.as_secs_f64(),
+        if by == new_control { "that machine" } else { "another" }
+    ));
     // It goes on serving for drainMs and a little longer.
     thread::sleep((DRAIN + Duration::from_millis(1_000)).saturating_sub(acknowledged.elapsed()));
     let ended = Instant::now();
@@ -181,7 +192,9 @@
     let at_it: Vec<_> = runs.iter().filter(|run| run.server == leaving.parts.id).collect();
     // Front machines are in touch again a contact window after the start of the new machine.
     let in_touch = started + CONTACT_WINDOW;
-    let late = at_it.iter().filter(|run| run.at > acknowledged + DRAIN && run.at > in_touch && run.at < ended);
+    let late = at_it
+        .iter()
+        .filter(|run| run.at > acknowledged + DRAIN && run.at > in_touch && run.at < ended);
     let late = late.count();
     let before = at_it.iter().filter(|run| run.at <= acknowledged).count();
     let within = at_it.len() - before - late;
--- a/review/standin/src/bin/copied_refusal.rs
+++ b/review/standin/src/bin/copied_refusal.rs
@@ -74,7 +74,11 @@
             Ok(answer) => answer.status().to_string(),
             Err(error) => error.to_string(),
         };
-        if told == "200" { served += 1 } else { not += 1 }
+        if told == "200" {
+            served += 1
+        } else {
+            not += 1
+        }
         record.line(format!("client: {first} {id} at {front}: {told}"));
         thread::sleep(Duration::from_millis(5));
     }
@@ -105,7 +109,8 @@
             heartbeat: HEARTBEAT,
         };
         let faults = Faults { extra, ..Faults::none() };
-        let server = Server::spawn_with(parts, runs.clone(), record.clone(), ending.clone(), faults);
+        let server =
+            Server::spawn_with(parts, runs.clone(), record.clone(), ending.clone(), faults);
         server.map_err(|error| error.to_string())
     };
     let mut servers = Vec::new();
--- a/review/standin/src/bin/planned_stop.rs
+++ b/review/standin/src/bin/planned_stop.rs
@@ -49,7 +49,13 @@
 fn balance(ready: SocketAddr, out: Arc<AtomicBool>) {
     let mut misses = 0;
     loop {
-        let asked = call(ready, "GET /readiness HTTP/1.1", &[("Host", "ready")], b"", Duration::from_secs(1));
+        let asked = call(
+            ready,
+            "GET /readiness HTTP/1.1",
+            &[("Host", "ready")],
+            b"",
+            Duration::from_secs(1),
+        );
         let well = asked.is_ok_and(|answer| answer.status() == 200);
         misses = if well { 0 } else { misses + 1 };
         out.store(misses >= 2, Ordering::SeqCst);
@@ -154,7 +160,8 @@
             control: Arc::new(Mutex::new(control)),
             heartbeat: HEARTBEAT,
         };
-        Server::spawn(parts, runs.clone(), record.clone(), ending.clone()).map_err(|e| e.to_string())?;
+        Server::spawn(parts, runs.clone(), record.clone(), ending.clone())
+            .map_err(|e| e.to_string())?;
     }
     if !fleet.wait_ready(Duration::from_secs(20)) {
         return Err("the front machines did not get ready".to_owned());
@@ -198,7 +205,11 @@
     let lost: Vec<_> = around
         .filter(|one| !one.answered && one.ended - one.at > LOSS_SLACK && !ran.contains(&one.id))
         .collect();
-    record.say(format!("{} requests, {served} answered 200, {} lost at the machine that stopped", sent.len(), lost.len()));
+    record.say(format!(
+        "{} requests, {served} answered 200, {} lost at the machine that stopped",
+        sent.len(),
+        lost.len()
+    ));
     for one in &lost {
         let at = |moment: Instant| match moment.checked_duration_since(signal) {
             Some(after) => format!("{:.2} s after", after.as_secs_f64()),
@@ -206,7 +217,10 @@
         };
         record.say(format!(
             "  {} sent {} the signal, connection ended {} it ({}), never at a server",
-            one.id, at(one.at), at(one.ended), one.told
+            one.id,
+            at(one.at),
+            at(one.ended),
+            one.told
         ));
     }
     if served < 100 {
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -218,11 +218,17 @@
         };
         let data = match front {
             true => String::new(),
-            false => format!("dataDir = \"{}\"\n", self.folder.join(format!("{name}.data")).display()),
+            false => {
+                format!("dataDir = \"{}\"\n", self.folder.join(format!("{name}.data")).display())
+            }
         };
         let limits = match front {
-            true => "cpuShare = 0.2\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n",
-            false => "cpuShare = 0.6\ncores = 1\nmemoryMb = 256\nmaxFds = 4096\nlinkMbps = 1000.0\ndiskMb = 256\n",
+            true => {
+                "cpuShare = 0.2\ncores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
+            }
+            false => {
+                "cpuShare = 0.6\ncores = 1\nmemoryMb = 256\nmaxFds = 4096\nlinkMbps = 1000.0\ndiskMb = 256\n"
+            }
         };
         let zones: String = ZONES.iter().map(|zone| format!("{zone} = \"colombo\"\n")).collect();
         let last = internal + 15;
@@ -269,7 +275,8 @@
     pub fn terminate(&mut self, name: &str) {
         let Some(pid) = self.process(name) else { return };
         let sent = Command::new("kill").args(["-TERM", &pid.to_string()]).status();
-        self.record.line(format!("platform: {name} gets SIGTERM ({})", sent.is_ok_and(|it| it.success())));
+        self.record
+            .line(format!("platform: {name} gets SIGTERM ({})", sent.is_ok_and(|it| it.success())));
     }
 
     /// Returns the process of a machine.
@@ -322,7 +329,10 @@
             Ok(answer) => answer.status().to_string(),
             Err(error) => error.to_string(),
         };
-        self.record.line(format!("operator: a configuration of {} bytes at {control}: {told}", body.len()));
+        self.record.line(format!(
+            "operator: a configuration of {} bytes at {control}: {told}",
+            body.len()
+        ));
         sent
     }
 
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -51,7 +51,9 @@
     CopyOfRefusal,
     /// Refusals for load, as long as the copies are no more than so many of 1,000 answers. The copy arrives
     /// late, in the same way.
-    CopyOfShed { per_mille: u64 },
+    CopyOfShed {
+        per_mille: u64,
+    },
 }
 
 /// Tells whether a server refuses a request for load: its number at this server, from 0.
@@ -203,7 +205,8 @@
         self.draining.store(true, Ordering::SeqCst);
         let by = (0..5).find_map(|_| self.announce("draining"))?;
         let acknowledged = Instant::now();
-        self.record.line(format!("server {} reports draining: acknowledged at {by}", self.parts.id));
+        self.record
+            .line(format!("server {} reports draining: acknowledged at {by}", self.parts.id));
         let draining = self.clone();
         thread::spawn(move || {
             thread::sleep(draining.parts.heartbeat);
@@ -266,7 +269,8 @@
         self.record.line(format!("server {} refuses {name} for load", self.parts.id));
         if let Extra::CopyOfShed { per_mille } = self.faults.extra
             && (self.faults.spoils)()
-            && (self.owed.load(Ordering::SeqCst) + 1) * 1_000 <= self.answered.load(Ordering::SeqCst) * per_mille
+            && (self.owed.load(Ordering::SeqCst) + 1) * 1_000
+                <= self.answered.load(Ordering::SeqCst) * per_mille
         {
             self.owed.fetch_add(1, Ordering::SeqCst);
             *owed = Some(format!(
@@ -282,7 +286,9 @@
         let Some(copy) = owed.take() else { return true };
         self.copies.fetch_add(1, Ordering::SeqCst);
         let id = &self.parts.id;
-        self.record.line(format!("server {id}: the second copy of an earlier answer arrives, while {name} is there"));
+        self.record.line(format!(
+            "server {id}: the second copy of an earlier answer arrives, while {name} is there"
+        ));
         use std::io::Write;
         let mut stream = stream;
         stream.write_all(copy.as_bytes()).is_ok()
@@ -314,8 +320,7 @@
         let id = self.parts.id.as_str();
         if request.word(1) == "/health" {
             let well = !self.draining.load(Ordering::SeqCst);
-            let first =
-                if well { "HTTP/1.1 200 OK" } else { "HTTP/1.1 503 Service Unavailable" };
+            let first = if well { "HTTP/1.1 200 OK" } else { "HTTP/1.1 503 Service Unavailable" };
             return send(stream, first, &[("Instance-Id", id)], b"").is_ok();
         }
         if request.header("expect-instance").is_some_and(|meant| meant != id) {
@@ -376,7 +381,9 @@
                 false
             }
             Ending::After(bytes) => {
-                self.record.line(format!("server {id}: bytes of no request go before the answer to {name}"));
+                self.record.line(format!(
+                    "server {id}: bytes of no request go before the answer to {name}"
+                ));
                 use std::io::Write;
                 let mut stream = stream;
                 stream.write_all(&bytes).is_ok() && answer()
