fleet: a departure is acknowledged only with a majority of the voters

What callers saw: a control VM that replaces another is cut off as it starts.

Cause: a departure was acknowledged once more than half of the VMs that the told one takes to be in reach had confirmed. One that has met nobody is a majority of one; so is, after a while, one that was cut off. Class: an answer that binds the fleet, given on the word of a majority of those that this VM happens to know.

Change: the leader names the voters, proved by a round of messages after the question, and a majority of them must have confirmed as well. The end of an earlier life is told like any departure. No stored form changes.

--- a/crates/fleet/src/replicas.rs
+++ b/crates/fleet/src/replicas.rs
@@ -9,7 +9,12 @@
     time::{Duration, Instant},
 };
 
-use crate::{driver::SharedState, leader::LeaderHints, link::LinkError, wire::FleetPeerClient};
+use crate::{
+    driver::SharedState,
+    leader::LeaderHints,
+    link::LinkError,
+    wire::{FleetPeerClient, WireRevision},
+};
 use control::fault::ReplicaFault;
 use model::{
     ledger::KeyClose,
@@ -66,6 +71,21 @@
         span: Duration,
         call: impl Fn(FleetPeerClient, Context) -> F,
     ) -> Result<T, ReplicaFault>
+    where
+        F: Future<Output = Result<Result<T, ReplicaFault>, RpcError>>,
+    {
+        self.on_leader_since(WireRevision::FIRST, group, span, call).await
+    }
+
+    /// Does the same with a call that the messages have gained since. A leader that does not know of it
+    /// counts as one that does not answer.
+    pub(crate) async fn on_leader_since<T, F>(
+        &self,
+        since: WireRevision,
+        group: GroupNumber,
+        span: Duration,
+        call: impl Fn(FleetPeerClient, Context) -> F,
+    ) -> Result<T, ReplicaFault>
     where
         F: Future<Output = Result<Result<T, ReplicaFault>, RpcError>>,
     {
@@ -84,7 +104,7 @@
                 continue;
             };
             tried.insert(replica.clone());
-            match self.on_replica(&replica, left.min(ONE_REPLICA), &call).await {
+            match self.on_replica(&replica, since, left.min(ONE_REPLICA), &call).await {
                 ReplicaStep::Done(answer) => {
                     self.hints().learn(group, Some(replica));
                     return answer;
@@ -97,6 +117,7 @@
     async fn on_replica<T, F>(
         &self,
         replica: &MemberName,
+        since: WireRevision,
         span: Duration,
         call: impl Fn(FleetPeerClient, Context) -> F,
     ) -> ReplicaStep<T>
@@ -105,12 +126,12 @@
     {
         let address = self.shared.view.load().member(replica).map(|member| member.address);
         let Some(address) = address else { return ReplicaStep::AskOther(None) };
-        match self.shared.links.call(address, span, call).await {
-            Ok(Err(ReplicaFault::NotLeader { leader })) => ReplicaStep::AskOther(leader),
-            Ok(Err(ReplicaFault::NoMajority | ReplicaFault::Stopped)) => {
+        match self.shared.links.call_since(since, address, span, call).await {
+            Ok(Some(Err(ReplicaFault::NotLeader { leader }))) => ReplicaStep::AskOther(leader),
+            Ok(None | Some(Err(ReplicaFault::NoMajority | ReplicaFault::Stopped))) => {
                 ReplicaStep::AskOther(None)
             }
-            Ok(answer) => ReplicaStep::Done(answer),
+            Ok(Some(answer)) => ReplicaStep::Done(answer),
             Err(LinkError::Connect { .. } | LinkError::Answer { .. }) => {
                 ReplicaStep::AskOther(None)
             }
