fleet, decide: asks and grants are known by life and service

Cause: an ask was known at the placer's VM by entry, call and attempt. One that lay in a cut connection arrived after its process had been killed, was granted, and the new process's call of the same number, for another service of a placer on the same VM, passed for it and got its grant. Beside it, seen in the same log: two services that one VM places numbered their grants alike, so an entry that held both lost one of them. Class: an identity that does not hold what it is unique within.

Calls and grants of a process begin above the numbers of its earlier lives, so nothing on its way from them passes for its own, also where the other end is of the version before. No message and no stored form changes.

--- a/crates/caller/tests/regressions.rs
+++ b/crates/caller/tests/regressions.rs
@@ -8,6 +8,7 @@
 use googletest::prelude::*;
 use model::{
     call::{OUTCOME_HEADER, RefusalReason},
+    numbers::CallNumber,
     route::PathMatch,
 };
 use standin::{
@@ -104,3 +105,14 @@
     }
     expect_that!(upstream.ran(), eq(1));
 }
+
+// Calls of a process that starts again have the numbers of calls that its earlier life has still under way.
+#[gtest]
+#[tokio::test]
+async fn calls_are_numbered_from_where_the_process_says() {
+    let upstream = spawn_standin(0, Duration::ZERO).await;
+    let vm = TestVm::numbering_after(CallNumber(9_000), &[upstream.address()]).await;
+    vm.get("/read").await;
+    let calls: Vec<_> = vm.slots.asks.lock().unwrap().iter().map(|ask| ask.call).collect();
+    expect_that!(calls, eq(&[CallNumber(9_001)]));
+}
--- /dev/null
+++ b/crates/fleet/tests/identities.rs
@@ -0,0 +1,125 @@
+//! What names an ask and a grant, over services and over lives of a process.
+
+mod support;
+
+use std::{net::SocketAddr, time::Duration};
+
+use fleet::{
+    handle::FleetNode,
+    link::PeerLinks,
+    wire::{AskFault, FleetPeerClient, PlacerAsk},
+};
+use googletest::prelude::*;
+use model::{
+    announcement::{UpstreamAnnouncement, UpstreamState},
+    config::ServiceRule,
+    names::UpstreamName,
+    numbers::{ConfigNumber, IncarnationNumber},
+    patch::ConfigChange,
+    ports::{AnnouncementPort, SlotPort},
+    secret::SharedSecret,
+    slot::{SlotAsk, SlotGrant},
+};
+use support::{Nodes, announcement, ask, member, service, settle, until, upstream};
+use tokio::runtime::Handle;
+
+const SERVICES: [&str; 2] = ["cluebook", "judgebox"];
+
+/// One node that places two services of one upstream each, which is named after its service.
+async fn spawn() -> Nodes {
+    let nodes = Nodes::spawn(1).await;
+    for (number, name) in SERVICES.into_iter().enumerate() {
+        let rule = ServiceRule::default();
+        let put = ConfigChange::PutService { name: service(name), rule };
+        nodes.submit(ConfigNumber(number as u64), put).await;
+        nodes.nodes[0].announce(UpstreamAnnouncement {
+            service: service(name),
+            lease_ms: 600_000,
+            slots: 64,
+            ..announcement(name, UpstreamState::Serving, 1)
+        });
+        until("calls are placed", || async {
+            let placed = nodes.nodes[0].ask(ask_for(name, 1_000_000)).await;
+            placed.inspect(|grant| nodes.nodes[0].settle(unused(name, grant))).is_ok()
+        })
+        .await;
+    }
+    nodes
+}
+
+fn unused(name: &str, grant: &SlotGrant) -> model::slot::SlotSettle {
+    let outcome = model::call::OutcomeClass::Unused;
+    model::slot::SlotSettle { service: service(name), ..settle(grant, outcome) }
+}
+
+fn ask_for(name: &str, call: u64) -> SlotAsk {
+    SlotAsk { service: service(name), ..ask(call, 5_000) }
+}
+
+/// Another process of the fleet, as far as it asks for slots.
+struct AskingProcess {
+    links: PeerLinks,
+    life: IncarnationNumber,
+}
+
+impl AskingProcess {
+    fn open(life: u64) -> Self {
+        let secret = SharedSecret::from_bytes(b"a secret for one machine only").unwrap();
+        let links = PeerLinks::new(Handle::current(), secret);
+        Self { links, life: IncarnationNumber(life) }
+    }
+
+    async fn ask(&self, placer: SocketAddr, ask: SlotAsk) -> Result<UpstreamName, AskFault> {
+        let ask = PlacerAsk { entry: member("vm-9"), life: self.life, obeyed: None, ask };
+        let call = |client: FleetPeerClient, context| async move { client.ask(context, ask).await };
+        let answer = self.links.call(placer, Duration::from_secs(5), call).await;
+        answer.expect("the node answers").map(|grant| grant.upstream)
+    }
+}
+
+// An ask that was under way when its process was killed arrives after the next process has begun. The next
+// process's ask of the same number, for another service, gets its grant.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_ask_of_an_earlier_life_gets_no_grant() {
+    let nodes = spawn().await;
+    let placer = nodes.nodes[0].address();
+    let (former, present) = (AskingProcess::open(5), AskingProcess::open(6));
+    expect_that!(present.ask(placer, ask_for("judgebox", 1)).await, ok(eq(&upstream("judgebox"))));
+    let late = former.ask(placer, ask_for("cluebook", 17)).await;
+    expect_that!(late, err(eq(&AskFault::NotPlacer)));
+    let own = present.ask(placer, ask_for("judgebox", 17)).await;
+    expect_that!(own, ok(eq(&upstream("judgebox"))));
+}
+
+// The late ask is the first that the placer hears of this VM. It is granted, and voided by the next life.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_later_life_gets_no_grant_of_an_earlier_one() {
+    let nodes = spawn().await;
+    let placer = nodes.nodes[0].address();
+    let (former, present) = (AskingProcess::open(5), AskingProcess::open(6));
+    expect_that!(former.ask(placer, ask_for("cluebook", 17)).await, ok(eq(&upstream("cluebook"))));
+    let own = present.ask(placer, ask_for("judgebox", 17)).await;
+    expect_that!(own, ok(eq(&upstream("judgebox"))));
+}
+
+// Two services that one VM places number their grants alike: the end of one is taken for that of the other.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn grants_of_two_services_are_held_side_by_side() {
+    let nodes = spawn().await;
+    let node: &FleetNode = &nodes.nodes[0];
+    until("nothing is held", || async { node.grants_held() == 0 }).await;
+    let mut grants = Vec::new();
+    for (call, name) in (1..).zip(SERVICES.into_iter().cycle()).take(40) {
+        grants.push((name, node.ask(ask_for(name, call)).await.expect("there is room")));
+    }
+    expect_that!(node.grants_held(), eq(40));
+    for (name, grant) in &grants {
+        expect_that!(grant.upstream, eq(&upstream(name)));
+        expect_true!(node.begin(grant));
+        node.settle(unused(name, grant));
+    }
+    expect_that!(node.grants_held(), eq(0));
+}
--- a/crates/model/src/numbers.rs
+++ b/crates/model/src/numbers.rs
@@ -57,6 +57,18 @@
     GroupNumber(u32)
 }
 
+/// 2026-01-01 in milliseconds of the time of day: keeps numbers short on the wire.
+const FIRST_DAY_MS: u64 = 1_767_225_600_000;
+
+impl IncarnationNumber {
+    /// Returns the number after which a VM that started at this one, in microseconds of the time of day, counts
+    /// what it names. It is above all numbers of its earlier lives, as long as these named less than one thing
+    /// a millisecond, so what is still on its way from them is never taken for its own.
+    pub fn numbers_after(self) -> u64 {
+        (self.0 / 1_000).saturating_sub(FIRST_DAY_MS)
+    }
+}
+
 impl GroupNumber {
     /// The group that replicates the configuration.
     pub const CONFIG: Self = Self(0);
