--- a/crates/fleet/src/driver/contact.rs
+++ b/crates/fleet/src/driver/contact.rs
@@ -1,10 +1,11 @@
 //! Whether this VM may be cut off from the rest of the fleet.
 //!
 //! Failure: a VM is cut off, or has just started and met nobody, and upstreams still reach it, or its leases run
-//! out. Symptom: an upstream whose announcements it acknowledges tells nobody else and ends for all others; and
-//! when it is back, the ends of leases that others have renewed meanwhile take healthy upstreams away. Whom
-//! a VM counts as lost does not tell, since those are forgotten after a while. What tells is what was heard: the
-//! leader of the control state by a replica with a seat, an echo of another VM by all others.
+//! out. Symptom: an upstream whose announcements it acknowledges tells nobody else, and its lease runs out for the
+//! fleet; and when the VM is back, its word that leases have ended takes upstreams away whose leases others
+//! have renewed. Whom a VM counts as lost does not tell, since those are forgotten after a while. What tells is
+//! whom it has heard lately: with a seat the leader of the control state, without one any VM that echoes its
+//! heartbeat.
 
 use std::{sync::atomic::Ordering, time::Duration};
 
