--- a/crates/caller/tests/regressions.rs
+++ b/crates/caller/tests/regressions.rs
@@ -59,8 +59,7 @@
     expect_that!(answer.header(OUTCOME_HEADER), eq("unknown"));
 }
 
-// A call that must not run twice has the path of a longer, repeatable route but for the last slash. Its
-// answer is lost, and it runs again.
+// A call that must not run twice gets a longer, repeatable route, whose last slash its path lacks.
 #[gtest]
 #[tokio::test]
 async fn a_call_at_the_bare_path_of_a_repeatable_route_runs_once() {
@@ -84,8 +83,7 @@
     expect_that!(ran() - before, gt(1), "the repeatable route itself");
 }
 
-// A request names one host in its target and another in its header: one chooses the route, and the
-// upstream reads the other.
+// One host chooses the route, and the upstream reads the other.
 #[gtest]
 #[tokio::test]
 async fn a_request_that_names_two_hosts_runs_nothing() {
@@ -106,7 +104,7 @@
     expect_that!(upstream.ran(), eq(1));
 }
 
-// Calls of a process that starts again have the numbers of calls that its earlier life has still under way.
+// A process that starts again gives its calls the numbers of those still under way.
 #[gtest]
 #[tokio::test]
 async fn calls_are_numbered_from_where_the_process_says() {
--- a/crates/decide/src/grant_sequence.rs
+++ b/crates/decide/src/grant_sequence.rs
@@ -1,9 +1,8 @@
 //! The numbers of one VM's grants.
 //!
-//! Failure: each service that a VM places numbers its grants by itself, and a restart begins at 1 again. Symptom:
-//! two grants have one identity, and the end of one, its revocation or its repeated ask strikes the other, which
-//! is of another service or of an earlier life. A grant is known by its granter, epoch and number alone, so a
-//! VM numbers all of its grants together, above those of its earlier lives.
+//! Failure: two services, or two lives of a process, give grants with one number. Symptom: the end or the revocation
+//! of one strikes the other, since granter, epoch and number are all that names a grant. One sequence for
+//! all services of a VM, above those of its earlier lives, gives no number twice.
 
 use std::sync::{
     Arc,
--- a/crates/fleet/src/driver/contact.rs
+++ b/crates/fleet/src/driver/contact.rs
@@ -1,11 +1,8 @@
 //! Whether this VM may be cut off from the rest of the fleet.
 //!
-//! Failure: a VM is cut off, or has just started and met nobody, and upstreams still reach it, or its leases run
-//! out. Symptom: an upstream whose announcements it acknowledges tells nobody else, and its lease runs out for the
-//! fleet; and when the VM is back, its word that leases have ended takes upstreams away whose leases others
-//! have renewed. Whom a VM counts as lost does not tell, since those are forgotten after a while. What tells is
-//! whom it has heard lately: with a seat the leader of the control state, without one any VM that echoes its
-//! heartbeat.
+//! Failure: a VM that is cut off goes on for the fleet. Symptom: upstreams that it acknowledges tell nobody else, and
+//! its ends of leases take upstreams away that others have renewed. Whom it has heard lately tells, and not
+//! whom it counts as lost, since those are forgotten: with a seat the leader, without one any echo.
 
 use std::{sync::atomic::Ordering, time::Duration};
 
@@ -27,7 +24,7 @@
         }
         let paused = now.since(self.reviewed) > PAUSE_LIMIT;
         self.reviewed = now;
-        // What was renewed meanwhile was not heard here.
+        // Renewals of that time were not heard here.
         if cut_off || paused {
             self.leases.postpone(now);
         }
--- a/crates/fleet/tests/cut_off.rs
+++ b/crates/fleet/tests/cut_off.rs
@@ -29,7 +29,7 @@
     until("it takes itself to be cut off", || async { node.may_be_cut_off() }).await;
 }
 
-// Upstreams reach a VM that has replaced another and was met by nobody.
+// A VM that was met by nobody takes itself to be in touch.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_vm_that_has_met_nobody_is_out_of_touch() {
@@ -42,7 +42,7 @@
     }
 }
 
-// With a seat and without, in touch and once most are lost.
+// A VM with a seat or without takes itself to be in touch once most others are lost.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn vms_know_whether_they_are_in_touch() {
@@ -57,8 +57,7 @@
     loses_touch(&nodes.nodes[4]).await;
 }
 
-// Upstreams renew their leases at the VMs that this one does not hear. When it is back, its word that
-// they have ended would take them from all.
+// A VM that is cut off ends leases that others have renewed.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_vm_that_is_cut_off_ends_no_lease() {
@@ -78,7 +77,7 @@
     expect_true!(known(&nodes.nodes[0]).await);
 }
 
-// A process that was suspended for longer than a lease wakes before it has read the renewals that wait.
+// A process that wakes ends leases before it has read the renewals that wait.
 #[gtest]
 fn a_lease_that_is_postponed_runs_on_for_a_whole_one() {
     let mut keeper = LeaseKeeper::default();
--- a/crates/fleet/tests/identities.rs
+++ b/crates/fleet/tests/identities.rs
@@ -12,13 +12,14 @@
 use googletest::prelude::*;
 use model::{
     announcement::{UpstreamAnnouncement, UpstreamState},
+    call::OutcomeClass,
     config::ServiceRule,
     names::UpstreamName,
     numbers::{ConfigNumber, IncarnationNumber},
     patch::ConfigChange,
     ports::{AnnouncementPort, SlotPort},
     secret::SharedSecret,
-    slot::{SlotAsk, SlotGrant},
+    slot::{SlotAsk, SlotGrant, SlotSettle},
 };
 use support::{Nodes, announcement, ask, member, service, settle, until, upstream};
 use tokio::runtime::Handle;
@@ -47,9 +48,8 @@
     nodes
 }
 
-fn unused(name: &str, grant: &SlotGrant) -> model::slot::SlotSettle {
-    let outcome = model::call::OutcomeClass::Unused;
-    model::slot::SlotSettle { service: service(name), ..settle(grant, outcome) }
+fn unused(name: &str, grant: &SlotGrant) -> SlotSettle {
+    SlotSettle { service: service(name), ..settle(grant, OutcomeClass::Unused) }
 }
 
 fn ask_for(name: &str, call: u64) -> SlotAsk {
@@ -77,8 +77,7 @@
     }
 }
 
-// An ask that was under way when its process was killed arrives after the next process has begun. The next
-// process's ask of the same number, for another service, gets its grant.
+// An ask gets the grant that a late ask of an earlier process with its number was given.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_late_ask_of_an_earlier_life_gets_no_grant() {
@@ -92,7 +91,7 @@
     expect_that!(own, ok(eq(&upstream("judgebox"))));
 }
 
-// The late ask is the first that the placer hears of this VM. It is granted, and voided by the next life.
+// The same, where the late ask is the first that the placer hears of this VM.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_later_life_gets_no_grant_of_an_earlier_one() {
@@ -104,7 +103,7 @@
     expect_that!(own, ok(eq(&upstream("judgebox"))));
 }
 
-// Two services that one VM places number their grants alike: the end of one is taken for that of the other.
+// The end of a grant is taken for that of another service's with the same number.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn grants_of_two_services_are_held_side_by_side() {
