caller: a copy of a refusal has a call run again, shown by a test that fails

What callers saw: an unsafe call ran twice. The test plays an upstream that hands out a refusal a second time while the call is at work on its next try: a 421 without the request's identifier and a 503 with the call's own, on the same connection and on whichever has the next request, sent directly and by another VM, unprotected and with a key.

--- /dev/null
+++ b/crates/caller/tests/copied_refusals.rs
@@ -0,0 +1,80 @@
+//! An upstream hands out an answer a second time, late. Whatever it says, it says nothing of the request at work.
+
+mod support;
+
+use googletest::prelude::*;
+use http::StatusCode;
+use model::call::{KEY_HEADER, OUTCOME_HEADER};
+use standin::call::{WholeAnswer, call, request};
+use support::{
+    TestVm,
+    carriers::FakeCarriers,
+    copies::{CopiedAnswer, CopyPlace, CopyingUpstream, headers},
+    key,
+};
+use upstream::pool::PathCut;
+
+/// A VM before upstreams, which it reaches itself or through another VM.
+struct CopyDesk {
+    vm: TestVm,
+    _carrier: TestVm,
+}
+
+impl CopyDesk {
+    async fn open(upstreams: &[&CopyingUpstream], carried: bool) -> Self {
+        let carriers = [
+            FakeCarriers::open("vm-0", "pettah").await,
+            FakeCarriers::open("vm-1", "pettah").await,
+        ];
+        FakeCarriers::meet(&carriers);
+        let [own, other] = carriers;
+        let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
+        let vm = TestVm::speaking(headers(), own, &addresses).await;
+        let _carrier = TestVm::speaking(headers(), other, &addresses).await;
+        let desk = Self { vm, _carrier };
+        desk.set_carried(carried);
+        // Saves up second tries.
+        for number in 0..40 {
+            let answer = desk.ask("GET", "/read", &format!("before-{number}")).await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+        desk
+    }
+
+    fn set_carried(&self, carried: bool) {
+        self.vm.pool.cut(carried.then_some(PathCut::Resets));
+    }
+
+    async fn ask(&self, method: &str, path: &str, id: &str) -> WholeAnswer {
+        let key = key(1).to_string();
+        let headers = [("x-id", id), (KEY_HEADER, &*key)];
+        call(self.vm.address(), request(method, path, &headers, b"")).await.unwrap()
+    }
+}
+
+const FORMS: [CopiedAnswer; 2] = [CopiedAnswer::Misdirected, CopiedAnswer::Full];
+
+// A call is refused, and the copy of its refusal comes while it is at work on its next try: it would be sent again
+// and run twice.
+#[gtest]
+#[tokio::test]
+async fn a_copy_of_its_own_refusal_does_not_have_a_call_run_again() {
+    for (copied, place) in
+        FORMS.into_iter().flat_map(|form| [(form, CopyPlace::Same), (form, CopyPlace::Any)])
+    {
+        for (path, carried) in [("/once", false), ("/pay", false), ("/once", true), ("/pay", true)]
+        {
+            let first = CopyingUpstream::spawn(copied, place).await;
+            let desk = CopyDesk::open(&[&first], carried).await;
+            first.copy_next();
+            let answer = desk.ask("POST", path, "paid").await;
+            let ran = first.runs().remove("paid").unwrap_or(0);
+            let stated = answer.headers.get(OUTCOME_HEADER).map(|value| value.as_bytes());
+            let told =
+                format!("{copied:?} {place:?} {path} carried {carried}: {:?}", answer.status);
+            expect_that!(ran, le(1), "{told}");
+            expect_that!((ran, stated), not(eq((1, Some(&b"not-run"[..])))), "{told}");
+            expect_that!((ran, answer.status), not(eq((0, StatusCode::OK))), "{told}");
+        }
+    }
+}
