soak, standin: a second plan, where upstreams refuse and hand out each refusal twice

The soak had upstreams that answer as they should, so nothing in it could show that a copy of an answer is believed. A new check, REFUSED: what a caller was told had not run must not run, then or later. The check is seen to fail in checks.rs.

--- a/crates/soak/src/args.rs
+++ b/crates/soak/src/args.rs
@@ -13,6 +13,8 @@
         optional --seed number: u64
         /// How many rounds the plan has. Default: 6.
         optional --rounds count: u32
+        /// Has upstreams refuse a share of their calls, and hand each refusal out once more.
+        optional --copies
         /// The folder of the programs coltsfootcrankd and coltsfootcrank. Default: this program's.
         optional --programs folder: PathBuf
         /// Keeps the logs of the daemons in this folder.
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,14 +1,14 @@
 //! Calls, and which service ran them.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     fmt,
     net::SocketAddr,
     time::Duration,
 };
 
 use futures::future::join_all;
-use model::call::KEY_HEADER;
+use model::call::{KEY_HEADER, OUTCOME_HEADER};
 use standin::{
     call::{call, request},
     upstream::UpstreamStandin,
@@ -38,6 +38,11 @@
         /// How often it ran.
         count: u32,
     },
+    /// A call ran of which its caller was told that it had not.
+    ToldNotRun {
+        /// The call's key.
+        key: String,
+    },
     /// An upstream ran a call that nobody sent.
     Unasked {
         /// The call's key.
@@ -51,19 +56,32 @@
             Self::WrongService { key, called, ran } => {
                 write!(f, "a call for {called} ran at an upstream of {ran} (key {key})")
             }
+            Self::ToldNotRun { key } => {
+                write!(f, "a call ran that its caller was told had not (key {key})")
+            }
             Self::RanAgain { key, count } => write!(f, "a call ran {count} times (key {key})"),
             Self::Unasked { key } => write!(f, "a call ran that nobody sent (key {key})"),
         }
     }
 }
 
-/// Sends a call and returns the status of its answer. 0: none came.
-async fn send_one(callers: SocketAddr, service: String, key: String) -> u16 {
+/// What a caller was told.
+struct ToldEnd {
+    key: String,
+    /// The status of its answer. 0: none came.
+    status: u16,
+    not_run: bool,
+}
+
+async fn send_one(callers: SocketAddr, service: String, key: String) -> ToldEnd {
     let sending =
         call(callers, request("POST", &format!("/{service}"), &[(KEY_HEADER, &key)], b""));
     match timeout(CALL_LIMIT, sending).await {
-        Ok(Ok(answer)) => answer.status.as_u16(),
-        Ok(Err(_)) | Err(_) => 0,
+        Ok(Ok(answer)) => {
+            let not_run = answer.header(OUTCOME_HEADER) == "not-run";
+            ToldEnd { key, status: answer.status.as_u16(), not_run }
+        }
+        Ok(Err(_)) | Err(_) => ToldEnd { key, status: 0, not_run: false },
     }
 }
 
@@ -71,6 +89,7 @@
 #[derive(Debug, Default)]
 pub struct SentCalls {
     services: HashMap<String, String>,
+    told_not_run: HashSet<String>,
     /// How many calls were answered, by status. 0: none came.
     pub answers: BTreeMap<u16, u32>,
 }
@@ -93,8 +112,11 @@
             self.record(&key, &service);
             sending.push(send_one(callers, service, key));
         }
-        for status in join_all(sending).await {
-            *self.answers.entry(status).or_default() += 1;
+        for told in join_all(sending).await {
+            *self.answers.entry(told.status).or_default() += 1;
+            if told.not_run {
+                self.record_not_run(&told.key);
+            }
         }
     }
 
@@ -103,6 +125,11 @@
         self.services.insert(key.to_owned(), service.to_owned());
     }
 
+    /// Notes a call whose caller was told that it had not run.
+    pub fn record_not_run(&mut self, key: &str) {
+        self.told_not_run.insert(key.to_owned());
+    }
+
     /// Returns how many calls were sent.
     pub fn count(&self) -> usize {
         self.services.len()
@@ -126,6 +153,9 @@
         let (mut broken, mut counts) = (Vec::new(), BTreeMap::<String, u32>::new());
         for (ran, key, count) in runs {
             *counts.entry(key.clone()).or_default() += count;
+            if self.told_not_run.contains(&key) {
+                broken.push(BrokenPromise::ToldNotRun { key: key.clone() });
+            }
             match self.services.get(&key) {
                 None => broken.push(BrokenPromise::Unasked { key }),
                 Some(called) if *called != ran => {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -25,20 +25,33 @@
 }
 
 /// The rounds of one run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct SoakPlan {
     /// Its seed.
     pub seed: u64,
+    /// The share of calls that upstreams refuse, with each refusal handed out once more.
+    pub copied_refusals: f64,
     /// Its rounds.
     pub rounds: Vec<LateRound>,
 }
 
+/// The least and the greatest share of calls that upstreams refuse where they hand out copies.
+const COPIED_REFUSALS: (f64, f64) = (0.1, 0.5);
+
 impl SoakPlan {
     /// Draws a plan for so many VMs and services.
     pub fn draw(seed: u64, rounds: u32, vms: usize, services: usize) -> Self {
         let mut random = Pcg64Mcg::seed_from_u64(seed);
         let rounds = (0..rounds).map(|_| LateRound::draw(&mut random, vms, services)).collect();
-        Self { seed, rounds }
+        Self { seed, copied_refusals: 0.0, rounds }
+    }
+
+    /// Has upstreams refuse a share of their calls as well, and hand out copies of their refusals.
+    #[must_use]
+    pub fn with_copies(self) -> Self {
+        let (least, greatest) = COPIED_REFUSALS;
+        let copied_refusals = Pcg64Mcg::seed_from_u64(self.seed).random_range(least..greatest);
+        Self { copied_refusals, ..self }
     }
 }
 
@@ -65,6 +78,10 @@
 impl fmt::Display for SoakPlan {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "seed {}", self.seed)?;
+        if self.copied_refusals > 0.0 {
+            let percent = self.copied_refusals * 100.0;
+            writeln!(f, "{percent:.0} in 100 calls are refused, each refusal comes twice")?;
+        }
         for (number, round) in self.rounds.iter().enumerate() {
             writeln!(
                 f,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -63,6 +63,9 @@
 pub async fn play(settings: &SoakSettings) -> Result<SoakReport, SoakError> {
     let started = Instant::now();
     let mut fleet = SoakFleet::spawn(&settings.programs, &settings.folder).await?;
+    for upstream in &fleet.upstreams {
+        upstream.set_copied_refusals(settings.plan.copied_refusals);
+    }
     let mut calls = SentCalls::default();
     for round in &settings.plan.rounds {
         play_round(&mut fleet, &mut calls, round).await?;
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -21,7 +21,9 @@
         calls.check_runs([run("service-0", "a", 1), run("service-1", "b", 1)]),
         is_empty()
     );
+    calls.record_not_run("c");
     let broken = calls.check_runs([
+        run("service-1", "c", 1),
         run("service-1", "a", 1),
         run("service-1", "b", 2),
         run("service-1", "d", 1),
@@ -33,12 +35,15 @@
     };
     let again = BrokenPromise::RanAgain { key: "b".to_owned(), count: 2 };
     let unasked = BrokenPromise::Unasked { key: "d".to_owned() };
-    expect_that!(broken, unordered_elements_are![eq(&wrong), eq(&again), eq(&unasked)]);
+    let told = BrokenPromise::ToldNotRun { key: "c".to_owned() };
+    expect_that!(broken, unordered_elements_are![eq(&wrong), eq(&again), eq(&unasked), eq(&told)]);
 }
 
 // A seed that failed cannot be played again.
 #[gtest]
 fn one_seed_gives_one_plan() {
     expect_that!(SoakPlan::draw(7, 6, 5, 8), eq(&SoakPlan::draw(7, 6, 5, 8)));
+    let copies = |seed| SoakPlan::draw(seed, 6, 5, 8).with_copies();
+    expect_that!(copies(7), eq(&copies(7)));
     expect_that!(SoakPlan::draw(7, 6, 5, 8), not(eq(&SoakPlan::draw(8, 6, 5, 8))));
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod announcer;
 pub mod call;
+mod copying;
 pub mod fault;
 mod serving;
 mod state;
--- a/crates/standin/src/serving.rs
+++ b/crates/standin/src/serving.rs
@@ -14,12 +14,14 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use model::call::{KEY_HEADER, RATE_HEADER, UPSTREAM_STATE_HEADER};
+use rand::Rng;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Notify,
 };
 
 use crate::{
+    copying::{CopyingStream, OwedCopy},
     fault::CallFate,
     state::{SlotGuard, StandinState, begin, crashes, lock},
     upstream::StandinSettings,
@@ -62,8 +64,10 @@
         state.accepted += 1;
         state.accepted
     };
+    let owed = OwedCopy::default();
+    let stream = CopyingStream::new(stream, owed.clone());
     let service = service_fn(move |request| {
-        let shared = shared.clone();
+        let (shared, owed) = (shared.clone(), owed.clone());
         async move {
             let silent = lock(&shared.state).silent_up_to >= number;
             if silent {
@@ -74,7 +78,7 @@
                 let state = lock(&shared.state);
                 (state.rate, state.state_word)
             };
-            let mut response = run(request, &shared).await?;
+            let mut response = run(request, &shared, &owed).await?;
             if let Some(per_s) = rate {
                 response.headers_mut().insert(RATE_HEADER, HeaderValue::from(per_s));
             }
@@ -94,11 +98,16 @@
 async fn run(
     request: Request<Incoming>,
     shared: &ServeState,
+    owed: &OwedCopy,
 ) -> Result<Response<StandinBody>, Infallible> {
     let ServeState { state, settings, crash } = shared;
     if let Some(refusal) = refuse(state) {
         return Ok(refusal);
     }
+    if refuses_copied(state) {
+        owed.begin();
+        return Ok(answer(StatusCode::SERVICE_UNAVAILABLE, Some("shed"), "shed"));
+    }
     // A probe asks for nothing.
     if request.method() == http::Method::OPTIONS {
         return Ok(answer(StatusCode::OK, None, ""));
@@ -142,6 +151,15 @@
     Some(refusal)
 }
 
+/// Draws whether a call is refused with a refusal that is handed out once more.
+fn refuses_copied(state: &Mutex<StandinState>) -> bool {
+    let mut state = lock(state);
+    let share = state.copied_refusals;
+    let refused = share > 0.0 && state.random.random_bool(share);
+    state.refused += u64::from(refused);
+    refused
+}
+
 fn answer(status: StatusCode, stated: Option<&'static str>, text: &str) -> Response<StandinBody> {
     let body = Full::new(Bytes::copy_from_slice(text.as_bytes())).map_err(|never| match never {});
     let mut response = Response::new(body.boxed_unsync());
--- a/crates/standin/src/state.rs
+++ b/crates/standin/src/state.rs
@@ -28,6 +28,8 @@
     pub(crate) crash_on: Option<Vec<u8>>,
     /// What it states on the refusal with which it answers each call.
     pub(crate) refuse_as: Option<&'static str>,
+    /// The share of calls that it refuses as shed, with each refusal handed out once more.
+    pub(crate) copied_refusals: f64,
     /// What its refusals bear as `Retry-After`.
     pub(crate) retry_after: Option<&'static str>,
     /// How many calls it refused so.
@@ -59,6 +61,7 @@
             random: Pcg64Mcg::seed_from_u64(seed),
             crash_on: None,
             refuse_as: None,
+            copied_refusals: 0.0,
             retry_after: None,
             refused: 0,
             rate: None,
