--- a/crates/decide/src/placer/closed.rs
+++ b/crates/decide/src/placer/closed.rs
@@ -31,8 +31,15 @@
         }
         let waited = now.since(waiting.since);
         let active = self.targets.iter().filter(|(_, target)| target.is_active());
-        let closed = active.map(|(target, _)| self.closed_for(&waiting.ask, target, waited));
-        let opens = closed.min().filter(|closed| !closed.is_zero())?;
+        let mut opens: Option<Duration> = None;
+        for (target, _) in active {
+            let closed = self.closed_for(&waiting.ask, target, waited);
+            if closed.is_zero() {
+                return None;
+            }
+            opens = Some(opens.map_or(closed, |least| least.min(closed)));
+        }
+        let opens = opens?;
         let useful_until = waiting.objective_start.unwrap_or(waiting.latest_start);
         (now + opens > useful_until).then(|| opens.min(MAX_RETRY_AFTER))
     }
