--- a/crates/caller/tests/copied_refusals.rs
+++ b/crates/caller/tests/copied_refusals.rs
@@ -18,6 +18,7 @@
 struct CopyDesk {
     vm: TestVm,
     _carrier: TestVm,
+    carried: bool,
 }
 
 impl CopyDesk {
@@ -31,7 +32,7 @@
         let addresses: Vec<_> = upstreams.iter().map(|upstream| upstream.address).collect();
         let vm = TestVm::speaking(headers(), own, &addresses).await;
         let _carrier = TestVm::speaking(headers(), other, &addresses).await;
-        let desk = Self { vm, _carrier };
+        let desk = Self { vm, _carrier, carried };
         desk.set_carried(carried);
         // Saves up second tries.
         for number in 0..40 {
@@ -50,6 +51,25 @@
         let headers = [("x-id", id), (KEY_HEADER, &*key)];
         call(self.vm.address(), request(method, path, &headers, b"")).await.unwrap()
     }
+
+    async fn expect_own_answer(
+        &self,
+        path: &str,
+        id: &str,
+        first: &CopyingUpstream,
+        second: &CopyingUpstream,
+    ) {
+        let answer = self.ask("POST", path, id).await;
+        let mut runs = first.runs();
+        if second.address != first.address {
+            runs.extend(second.runs());
+        }
+        let ran = runs.remove(id).unwrap_or(0);
+        let told = format!("{path} {id} carried {}: {:?}", self.carried, answer.status);
+        expect_that!(ran, eq(1), "{told}");
+        expect_that!(answer.status, eq(StatusCode::OK), "{told}");
+        expect_that!(answer.body, eq(format!("ran {id}").as_bytes()), "{told}");
+    }
 }
 
 const FORMS: [CopiedAnswer; 2] = [CopiedAnswer::Misdirected, CopiedAnswer::Full];
@@ -78,3 +98,45 @@
         }
     }
 }
+
+// Another call's refusal is handed out again while a call is at work on the same connection. The call would be told that it
+// had not run, or be sent again, or lose its own answer.
+#[gtest]
+#[tokio::test]
+async fn the_next_call_keeps_its_own_answer_beside_a_copy() {
+    for copied in [CopiedAnswer::Misdirected] {
+        for (path, carried) in [("/once", false), ("/pay", false), ("/once", true), ("/pay", true)]
+        {
+            let first = CopyingUpstream::spawn(copied, CopyPlace::Same).await;
+            let second = match copied {
+                // An earlier life of it, whose address it has.
+                CopiedAnswer::Misdirected => first.clone(),
+                _ => CopyingUpstream::spawn(copied, CopyPlace::Same).await,
+            };
+            let desk = CopyDesk::open(&[&first, &second], carried).await;
+            match copied {
+                CopiedAnswer::Misdirected => first.restart_as("hunt-1"),
+                _ => first.copy_next(),
+            }
+            desk.expect_own_answer("/once", "refused-once", &first, &second).await;
+            desk.expect_own_answer(path, "next", &first, &second).await;
+        }
+    }
+}
+
+// A refusal without an identifier comes on a connection that was used, of which the upstream had answered as itself: the copy
+// of another connection's. The call at work would run again.
+#[gtest]
+#[tokio::test]
+async fn a_refusal_without_an_identifier_on_a_used_connection_proves_nothing() {
+    for carried in [false, true] {
+        let first = CopyingUpstream::spawn(CopiedAnswer::Misdirected, CopyPlace::Any).await;
+        let desk = CopyDesk::open(&[&first], carried).await;
+        first.owe("HTTP/1.1 421 Other\r\nretry-after: 7\r\ncontent-length: 0\r\n\r\n");
+        let answer = desk.ask("POST", "/once", "paid").await;
+        expect_that!(first.runs().remove("paid"), some(eq(1)));
+        expect_that!(answer.header(OUTCOME_HEADER), eq("unknown"));
+        let heard = desk.vm.slots.heard.lock().unwrap().clone();
+        expect_that!(heard.iter().filter(|stated| stated.leaving).count(), eq(0));
+    }
+}
--- a/crates/caller/tests/support/copies.rs
+++ b/crates/caller/tests/support/copies.rs
@@ -14,6 +14,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::sleep,
 };
 use upstream::headers::CallHeaders;
@@ -63,6 +64,8 @@
     place: CopyPlace,
     /// How many requests it still answers so, before it runs the others.
     left: Arc<AtomicU32>,
+    /// Who it is, where it refuses what is meant for another.
+    name: watch::Sender<Option<&'static str>>,
     /// What is handed out once more, on any connection.
     owed: Arc<Mutex<Option<String>>>,
     runs: Arc<Mutex<HashMap<String, u32>>>,
@@ -72,8 +75,9 @@
     pub async fn spawn(copied: CopiedAnswer, place: CopyPlace) -> Self {
         let listener = TcpListener::bind(any_port()).await.unwrap();
         let address = listener.local_addr().unwrap();
-        let (left, owed, runs) = (Arc::default(), Arc::default(), Arc::default());
-        let upstream = Self { address, copied, place, left, owed, runs };
+        let (left, name) = (Arc::default(), watch::Sender::default());
+        let (owed, runs) = (Arc::default(), Arc::default());
+        let upstream = Self { address, copied, place, left, name, owed, runs };
         let serving = upstream.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -88,6 +92,16 @@
         self.left.store(1, Ordering::SeqCst);
     }
 
+    /// Starts anew as this upstream: refuses what is meant for another one, and hands each refusal out once more.
+    pub fn restart_as(&self, name: &'static str) {
+        self.name.send_replace(Some(name));
+    }
+
+    fn is_misdirected(&self, head: &str) -> bool {
+        let meant_for = head.lines().find_map(|line| line.strip_prefix("x-meant-for: "));
+        self.name.borrow().is_some_and(|name| meant_for != Some(name))
+    }
+
     /// Hands this out while the next request is at work.
     pub fn owe(&self, answer: &str) {
         *self.owed.lock().unwrap() = Some(answer.to_owned());
@@ -101,16 +115,25 @@
     async fn serve(self, mut stream: TcpStream) {
         let mut owed = None;
         let mut request = vec![0; 16 * 1_024];
-        while let Ok(length @ 1..) = stream.read(&mut request).await {
+        let mut life = self.name.subscribe();
+        loop {
+            let length = tokio::select! {
+                read = stream.read(&mut request) => read.unwrap_or(0),
+                _ = life.changed() => 0,
+            };
+            if length == 0 {
+                return;
+            }
             let head = String::from_utf8_lossy(&request[..length]).to_ascii_lowercase();
             let id = head.lines().find_map(|line| line.strip_prefix("x-id: ")).unwrap_or("");
             let before = match self.place {
                 CopyPlace::Same => owed.take(),
                 CopyPlace::Any => self.owed.lock().unwrap().take(),
             };
-            let copies = self.left.load(Ordering::SeqCst) > 0;
+            let counted = |left: u32| left.checked_sub(1);
+            let copies = self.is_misdirected(&head)
+                || self.left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, counted).is_ok();
             let answer = if copies {
-                self.left.fetch_sub(1, Ordering::SeqCst);
                 self.copied_answer(id)
             } else {
                 *self.runs.lock().unwrap().entry(id.to_owned()).or_default() += 1;
