--- a/crates/caller/tests/copied_refusals.rs
+++ b/crates/caller/tests/copied_refusals.rs
@@ -104,7 +104,7 @@
 #[gtest]
 #[tokio::test]
 async fn the_next_call_keeps_its_own_answer_beside_a_copy() {
-    for copied in [CopiedAnswer::Misdirected] {
+    for copied in FORMS {
         for (path, carried) in [("/once", false), ("/pay", false), ("/once", true), ("/pay", true)]
         {
             let first = CopyingUpstream::spawn(copied, CopyPlace::Same).await;
@@ -140,3 +140,36 @@
         expect_that!(heard.iter().filter(|stated| stated.leaving).count(), eq(0));
     }
 }
+
+// The copy of a good answer comes while the next call is at work. It must not be taken for that call's, and from then on
+// the upstream's connections are not trusted with a second call.
+#[gtest]
+#[tokio::test]
+async fn copies_of_good_answers_cost_one_call_its_answer_at_most() {
+    let first = CopyingUpstream::spawn(CopiedAnswer::Good, CopyPlace::Same).await;
+    let desk = CopyDesk::open(&[&first], false).await;
+    let mut lost = 0;
+    for number in 0..10 {
+        first.copy_next();
+        let id = format!("paid-{number}");
+        let answer = desk.ask("POST", "/once", &id).await;
+        expect_that!(first.runs().remove(&id), some(eq(1)));
+        match answer.status {
+            StatusCode::OK => expect_that!(answer.body, eq(format!("ran {id}").as_bytes())),
+            _ => lost += 1,
+        }
+    }
+    expect_that!(lost, le(1));
+}
+
+// A request has no identifier, and the answer to another one comes on its connection. Its caller would get that answer.
+#[gtest]
+#[tokio::test]
+async fn a_request_without_an_identifier_takes_no_answer_that_names_another() {
+    let first = CopyingUpstream::spawn(CopiedAnswer::Good, CopyPlace::Same).await;
+    let desk = CopyDesk::open(&[&first], false).await;
+    first.copy_next();
+    desk.ask("POST", "/once", "other").await;
+    let answer = call(desk.vm.address(), request("POST", "/once", &[], b"")).await.unwrap();
+    expect_that!(&answer.body[..], not(eq(&b"ran other"[..])));
+}
