decide: a call that all its upstreams have refused is refused as that

Such a call was refused as saturated, 429, like one whose VM is closed out, and did not count among the unserved calls by which the floor is held: attempts after the first that find no room are taken for hedges there.

--- a/crates/decide/src/placer/closed.rs
+++ b/crates/decide/src/placer/closed.rs
@@ -4,6 +4,9 @@
 //! calls would wait in the queue until their deadline for upstreams that they may not use, and delay calls
 //! of other VMs. So a call is refused at once, as not run, if all upstreams are closed to its VM for longer
 //! than it can usefully wait. A retry through another VM may succeed.
+//!
+//! A call that must not run twice names the upstreams that have refused it as closed as well. The caller's own
+//! retry is another call, to which they are open.
 
 use super::{PlacerAction, ServicePlacer, queue::WaitingAsk};
 use model::{call::RefusalReason, moment::Moment, slot::SlotAsk};
@@ -44,6 +47,18 @@
         (now + opens > useful_until).then(|| opens.min(MAX_RETRY_AFTER))
     }
 
+    /// Refuses a call to which all upstreams are closed: each has refused it, or its VM is closed out.
+    pub(super) fn refuse_closed_ask(
+        &mut self,
+        waiting: WaitingAsk,
+        wait: Duration,
+        actions: &mut Vec<PlacerAction>,
+    ) {
+        let retry = waiting.ask.attempt > 1 && !waiting.ask.need.hedge;
+        let reason = if retry { RefusalReason::UpstreamsRefused } else { RefusalReason::Saturated };
+        self.refuse(waiting.id, reason, wait, actions);
+    }
+
     /// Refuses queued calls for which no upstream opens in useful time any more, because the upstreams open to
     /// them have been lost.
     pub(super) fn refuse_closed(&mut self, now: Moment, actions: &mut Vec<PlacerAction>) {
@@ -54,7 +69,7 @@
         {
             let Some(wait) = self.closed_retry_after(self.queue.get(index), now) else { continue };
             let waiting = self.queue.remove(index);
-            self.refuse(waiting.id, RefusalReason::Saturated, wait, actions);
+            self.refuse_closed_ask(waiting, wait, actions);
         }
     }
 }
