--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -90,6 +90,17 @@
         format!("{}:{}", self.machines[at].ip, self.ports.control)
     }
 
+    /// Returns an address for a target.
+    pub fn target_address(&self, n: usize) -> String {
+        let ip = &self.machines[0].ip;
+        let net = ip.rsplit_once('.').map_or("127.0.0", |(net, _)| net);
+        format!("{net}.{}:{}", 150 + n, self.ports.internal + 16)
+    }
+
+    pub fn zone(&self, n: usize) -> &'static str {
+        ZONES[n % ZONES.len()]
+    }
+
     /// Starts a machine's process as the deploy file says. `first`: the whole system starts for the
     /// first time.
     pub fn start(&mut self, at: usize, first: bool) {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod operator;
 mod routes;
+mod target;
 
 use std::{
     fs::File,
