--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -5,8 +5,9 @@
     fs::{self, File},
     io::Write,
     net::TcpListener,
-    path::{Path, PathBuf},
+    path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::Mutex,
     thread::sleep,
     time::{Duration, Instant},
 };
@@ -15,6 +16,20 @@
 pub const CONTACT_WINDOW: Duration = Duration::from_millis(3_000);
 pub const ACK: Duration = Duration::from_millis(4_000);
 
+/// The processes that run and the folder that they use, for an end in the middle of a case.
+static STARTED: Mutex<(Vec<u32>, Option<PathBuf>)> = Mutex::new((Vec::new(), None));
+
+/// Ends each process that this run started and that it has not ended itself.
+pub fn end_all() {
+    let Ok(mut started) = STARTED.lock() else { return };
+    for id in started.0.drain(..) {
+        let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+    }
+    if let Some(folder) = started.1.take() {
+        let _ = fs::remove_dir_all(folder);
+    }
+}
+
 const ZONES: [&str; 4] = ["fort-hall", "galle-face", "kollupitiya", "pettah"];
 
 /// What a process serves.
@@ -69,10 +84,6 @@
         Self { folder, program, ports, machines }
     }
 
-    pub fn folder(&self) -> &Path {
-        &self.folder
-    }
-
     /// Lists the places of the machines with a role.
     pub fn with(&self, role: Role) -> Vec<usize> {
         (0..self.machines.len()).filter(|&at| self.machines[at].role == role).collect()
@@ -117,7 +128,13 @@
             .stderr(errors)
             .spawn();
         match child {
-            Ok(child) => self.machines[at].child = Some(child),
+            Ok(child) => {
+                if let Ok(mut started) = STARTED.lock() {
+                    started.0.push(child.id());
+                    started.1 = Some(self.folder.clone());
+                }
+                self.machines[at].child = Some(child);
+            }
             Err(error) => crate::cannot_run(&format!("the program does not start: {error}")),
         }
     }
@@ -185,11 +202,19 @@
         }
     }
 
+    /// Tells whether a process that was started still runs.
+    pub fn runs(&mut self, at: usize) -> bool {
+        self.machines[at].child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Kills a process (SIGKILL) and waits for its end.
     pub fn kill(&mut self, at: usize) {
         if let Some(mut child) = self.machines[at].child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            if let Ok(mut started) = STARTED.lock() {
+                started.0.retain(|&id| id != child.id());
+            }
         }
     }
 
@@ -208,12 +233,6 @@
         let child = self.machines[at].child.as_mut()?;
         child.try_wait().ok().flatten().map(|status| status.to_string())
     }
-
-    /// Reads what a process has written.
-    pub fn log_of(&self, at: usize) -> String {
-        let path = self.folder.join(format!("{}.log", self.machines[at].name));
-        fs::read_to_string(path).unwrap_or_default()
-    }
 }
 
 impl Drop for Fleet {
--- a/review/standin-2/src/founding.rs
+++ b/review/standin-2/src/founding.rs
@@ -45,7 +45,7 @@
     let ran = target::Ran::default();
     for n in 0..4 {
         let address = fleet.target_address(n);
-        target::start(&format!("i-desk{n}"), &address, fleet.zone(n), nodes.clone(), ran.clone());
+        target::start(KIND, &format!("i-desk{n}"), &address, fleet.zone(n), nodes.clone(), ran.clone());
     }
     sleep(Duration::from_secs(1));
     note("the operator sends the first configuration, and again until it is acknowledged");
@@ -81,6 +81,8 @@
 
 const REQUESTS: usize = 80;
 
+const KIND: target::Kind = target::Kind { slots: 4, work: Duration::from_millis(50) };
+
 /// Sends safe and unsafe requests to the fronts in turn, with the time limits of the site. Returns how many
 /// are served.
 fn consume(fleet: &Fleet) -> usize {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,8 +4,10 @@
 mod fleet;
 mod founding;
 mod http;
+mod leaving;
 mod operator;
 mod routes;
+mod stopping;
 mod target;
 
 use std::{
@@ -26,9 +28,10 @@
     let _ = file.lock().map(|mut file| file.write_all(line.as_bytes()));
 }
 
-/// Ends a case that cannot run.
+/// Ends a case that cannot run, and the processes that it started.
 pub fn cannot_run(why: &str) -> ! {
     note(&format!("cannot run: {why}"));
+    fleet::end_all();
     exit(2)
 }
 
@@ -48,7 +51,9 @@
     note(&format!("case {case}, disruption: {}", if trouble() { "yes" } else { "no" }));
     let held = match case.as_str() {
         "founding" => founding::run(),
+        "leaving" => leaving::run(),
         "routes" => routes::run(),
+        "stopping" => stopping::run(),
         _ => cannot_run("there is no such case"),
     };
     note(if held { "the rule held" } else { "the rule was broken" });
