--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -45,6 +45,8 @@
     pub role: Role,
     pub ip: String,
     zone: usize,
+    /// How often its disk was lost.
+    disks: usize,
     child: Option<Child>,
 }
 
@@ -142,8 +144,12 @@
     fn write_settings(&self, at: usize, first: bool) -> PathBuf {
         let machine = &self.machines[at];
         let core = machine.role == Role::Core;
-        let seeds: Vec<String> = self.with(Role::Core).into_iter().take(3)
-            .map(|at| format!("\"{}\"", self.control_address(at))).collect();
+        let seeds: Vec<String> = self
+            .with(Role::Core)
+            .into_iter()
+            .take(3)
+            .map(|at| format!("\"{}\"", self.control_address(at)))
+            .collect();
         let mut text = format!(
             "node = \"{}\"\nrole = \"{}\"\nmachineClass = \"{}\"\nserves = [\"{}\"]\nip = \"{}\"\n\
              zone = \"{}\"\nregion = \"colombo\"\ninternalPorts = [{},{}]\nseeds = [{}]\n\
@@ -173,7 +179,11 @@
         if core {
             text += &format!("control = \"{}\"\n", self.control_address(at));
         } else {
-            text += &format!("front = \"{}\"\nready = \"{}\"\n", self.front_address(at), self.ready_address(at));
+            text += &format!(
+                "front = \"{}\"\nready = \"{}\"\n",
+                self.front_address(at),
+                self.ready_address(at)
+            );
         }
         text += if core {
             "\n[limits]\ncpuShare = 0.6\ncores = 1\nmemoryMb = 256\nmaxFds = 4096\nlinkMbps = 1000.0\ndiskMb = 256\n"
@@ -192,16 +202,22 @@
     }
 
     fn data_folder(&self, at: usize) -> PathBuf {
-        self.folder.join(format!("data-{}", self.machines[at].name))
+        self.folder.join(format!("data-{}-{}", self.machines[at].name, self.machines[at].disks))
     }
 
     /// Sends a signal to a process that this run started.
     pub fn signal(&self, at: usize, signal: &str) {
         if let Some(child) = &self.machines[at].child {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+            let _ =
+                Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
         }
     }
 
+    /// Gives a machine an empty disk.
+    pub fn empty_disk(&mut self, at: usize) {
+        self.machines[at].disks += 1;
+    }
+
     /// Tells whether a process that was started still runs.
     pub fn runs(&mut self, at: usize) -> bool {
         self.machines[at].child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
@@ -250,7 +266,7 @@
     fn new(class: &str, role: Role, n: usize, ip: String) -> Self {
         let zone = n % ZONES.len();
         let name = format!("{class}-{}-{}", ZONES[zone], 1 + n / ZONES.len());
-        Self { name, role, ip, zone, child: None }
+        Self { name, role, ip, zone, disks: 0, child: None }
     }
 }
 
@@ -264,7 +280,12 @@
                 (base..base + 24).all(|port| TcpListener::bind((machine.ip.as_str(), port)).is_ok())
             });
             if free {
-                return Self { front: base, ready: base + 1, control: base + 2, internal: base + 4 };
+                return Self {
+                    front: base,
+                    ready: base + 1,
+                    control: base + 2,
+                    internal: base + 4,
+                };
             }
             if Instant::now() > until {
                 crate::cannot_run("no free ports on the loopback addresses");
--- a/review/standin-2/src/founding.rs
+++ b/review/standin-2/src/founding.rs
@@ -14,7 +14,8 @@
 };
 
 pub fn run() -> bool {
-    let after = std::env::var("KILL_AFTER_MS").ok().and_then(|text| text.parse().ok()).unwrap_or(150);
+    let after =
+        std::env::var("KILL_AFTER_MS").ok().and_then(|text| text.parse().ok()).unwrap_or(150);
     let mut fleet = Fleet::lay_out(6, 4);
     let spare = fleet.with(Role::Core)[5];
     let mut cores = fleet.with(Role::Core)[..5].to_vec();
@@ -25,7 +26,10 @@
     sleep(Duration::from_millis(after));
     if trouble() && std::env::var_os("REPLACED").is_some() {
         fleet.kill(cores[1]);
-        note(&format!("gone for good, {after} ms after the last process was started: {}", fleet.machines[cores[1]].name));
+        note(&format!(
+            "gone for good, {after} ms after the last process was started: {}",
+            fleet.machines[cores[1]].name
+        ));
         sleep(Duration::from_secs(2));
         cores[1] = spare;
         fleet.start(spare, false);
@@ -35,17 +39,29 @@
         let killed = if all { cores.clone() } else { cores[..1].to_vec() };
         fleet.kill_together(&killed);
         let names: Vec<&str> = killed.iter().map(|&at| fleet.machines[at].name.as_str()).collect();
-        note(&format!("killed (SIGKILL), {after} ms after the last process was started: {}", names.join(", ")));
+        note(&format!(
+            "killed (SIGKILL), {after} ms after the last process was started: {}",
+            names.join(", ")
+        ));
         sleep(Duration::from_millis(400));
         killed.iter().for_each(|&at| fleet.start(at, false));
-        note("started again with its disk; bootstrap = false, since this is no first start of the whole system");
+        note(
+            "started again with its disk; bootstrap = false, since this is no first start of the whole system",
+        );
     }
     let back = Instant::now();
     let nodes: Vec<String> = cores.iter().map(|&at| fleet.control_address(at)).collect();
     let ran = target::Ran::default();
     for n in 0..4 {
         let address = fleet.target_address(n);
-        target::start(KIND, &format!("i-desk{n}"), &address, fleet.zone(n), nodes.clone(), ran.clone());
+        target::start(
+            KIND,
+            &format!("i-desk{n}"),
+            &address,
+            fleet.zone(n),
+            nodes.clone(),
+            ran.clone(),
+        );
     }
     sleep(Duration::from_secs(1));
     note("the operator sends the first configuration, and again until it is acknowledged");
@@ -58,22 +74,36 @@
     }
     sleep(Duration::from_secs(2));
     let served = consume(&fleet);
-    note(&format!("{served} of {REQUESTS} requests of consumers are served; targets ran {}", ran.lock().map_or(0, |ran| ran.len())));
+    note(&format!(
+        "{served} of {REQUESTS} requests of consumers are served; targets ran {}",
+        ran.lock().map_or(0, |ran| ran.len())
+    ));
     let ready = fleet.with(Role::Front).into_iter().filter(|&at| {
         let address = fleet.ready_address(at);
         let head = format!("GET /readiness HTTP/1.1\r\nHost: {address}\r\n");
-        crate::http::ask(&address, &head, &[], Duration::from_secs(1)).is_ok_and(|answer| answer.status() == 200)
+        crate::http::ask(&address, &head, &[], Duration::from_secs(1))
+            .is_ok_and(|answer| answer.status() == 200)
     });
     note(&format!("{} of 4 fronts say that they are ready", ready.count()));
     let bound = CONTACT_WINDOW + ACK;
     match order {
         Order::Acked => {
-            note(&format!("acknowledged {} ms after the start; the bound is {} ms", took.as_millis(), bound.as_millis()));
+            note(&format!(
+                "acknowledged {} ms after the start; the bound is {} ms",
+                took.as_millis(),
+                bound.as_millis()
+            ));
             took <= bound && served > 0
         }
-        Order::Refused(status) => crate::cannot_run(&format!("the configuration is refused with {status}")),
+        Order::Refused(status) => {
+            crate::cannot_run(&format!("the configuration is refused with {status}"))
+        }
         Order::Unanswered => {
-            note(&format!("no acknowledgement {} s after the core was back; the bound is {} ms", back.elapsed().as_secs(), bound.as_millis()));
+            note(&format!(
+                "no acknowledgement {} s after the core was back; the bound is {} ms",
+                back.elapsed().as_secs(),
+                bound.as_millis()
+            ));
             false
         }
     }
@@ -92,12 +122,23 @@
     for n in 0..REQUESTS {
         let address = fleet.front_address(fronts[n % fronts.len()]);
         let (head, body) = match n % 2 {
-            0 => (format!("GET /clue/{n} HTTP/1.1\r\nHost: clue.example\r\nRequest-Id: c{n:06}\r\nDeadline-Ms: 2500\r\n"), String::new()),
-            _ => (format!("POST /fee/{n} HTTP/1.1\r\nHost: fee.example\r\nRequest-Id: f{n:06}\r\nDeadline-Ms: 3000\r\n"), format!("fee {n}")),
+            0 => (
+                format!(
+                    "GET /clue/{n} HTTP/1.1\r\nHost: clue.example\r\nRequest-Id: c{n:06}\r\nDeadline-Ms: 2500\r\n"
+                ),
+                String::new(),
+            ),
+            _ => (
+                format!(
+                    "POST /fee/{n} HTTP/1.1\r\nHost: fee.example\r\nRequest-Id: f{n:06}\r\nDeadline-Ms: 3000\r\n"
+                ),
+                format!("fee {n}"),
+            ),
         };
         let answer = http::ask(&address, &head, body.as_bytes(), Duration::from_secs(3));
         served += usize::from(answer.as_ref().is_ok_and(|answer| answer.status() == 200));
-        let status = answer.map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
+        let status =
+            answer.map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
         *statuses.entry(status).or_default() += 1;
     }
     note(&format!("answers to consumers: {statuses:?}"));
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -62,17 +62,23 @@
                 break end;
             }
             if self.fill(until)? == 0 {
-                return if self.ahead.is_empty() { Ok(None) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+                return if self.ahead.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(io::ErrorKind::UnexpectedEof.into())
+                };
             }
         };
         let head = String::from_utf8_lossy(&self.ahead[..end]).into_owned();
         self.ahead.drain(..end + 4);
         let mut lines = head.split("\r\n");
         let start = lines.next().unwrap_or_default().to_owned();
-        let headers = lines.filter_map(|line| line.split_once(':'))
+        let headers = lines
+            .filter_map(|line| line.split_once(':'))
             .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()));
         let mut message = Message { start, headers: headers.collect(), body: Vec::new() };
-        let chunked = message.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
+        let chunked =
+            message.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
         if chunked {
             loop {
                 let size = self.line(until)?;
@@ -86,7 +92,8 @@
                 }
             }
         }
-        let length = message.header("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+        let length =
+            message.header("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
         message.body = self.take(length, until)?;
         Ok(Some(message))
     }
@@ -122,7 +129,8 @@
 pub fn ask(address: &str, head: &str, body: &[u8], within: Duration) -> io::Result<Message> {
     let until = Instant::now() + within;
     let mut wire = Wire::connect(address, within)?;
-    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let length =
+        if body.is_empty() { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
     wire.write(format!("{head}{length}\r\n").as_bytes())?;
     wire.write(body)?;
     wire.read(until)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
--- a/review/standin-2/src/leaving.rs
+++ b/review/standin-2/src/leaving.rs
@@ -40,9 +40,13 @@
     for at in 0..fleet.machines.len() {
         fleet.start(at, true);
     }
-    let nodes: Vec<String> = fleet.with(Role::Core).into_iter().map(|at| fleet.control_address(at)).collect();
+    let nodes: Vec<String> =
+        fleet.with(Role::Core).into_iter().map(|at| fleet.control_address(at)).collect();
     sleep(Duration::from_secs(3));
-    if !matches!(operator::send(&operator::document(1, 0), &nodes, Instant::now() + Duration::from_secs(20)), Order::Acked) {
+    if !matches!(
+        operator::send(&operator::document(1, 0), &nodes, Instant::now() + Duration::from_secs(20)),
+        Order::Acked
+    ) {
         crate::cannot_run("the configuration is not acknowledged");
     }
     let others = target::Ran::default();
@@ -59,7 +63,8 @@
         (sequence, target::beat(KIND, &address, zone, sequence))
     };
     let (answers, stop) = (Answers::default(), Arc::new(AtomicBool::new(false)));
-    let fronts: Vec<String> = fleet.with(Role::Front).into_iter().map(|at| fleet.front_address(at)).collect();
+    let fronts: Vec<String> =
+        fleet.with(Role::Front).into_iter().map(|at| fleet.front_address(at)).collect();
     for number in 0..CONSUMERS {
         let (fronts, answers, stop) = (fronts.clone(), answers.clone(), stop.clone());
         thread::spawn(move || consume(number, &fronts, &answers, &stop));
@@ -80,7 +85,9 @@
     if !acked {
         crate::cannot_run("the leaving is not acknowledged");
     }
-    note(&format!("{id} says that it goes, and that is acknowledged; it serves on, and sends no more pings"));
+    note(&format!(
+        "{id} says that it goes, and that is acknowledged; it serves on, and sends no more pings"
+    ));
     let mut back = ack;
     if trouble() {
         sleep(Duration::from_millis(100));
@@ -110,11 +117,22 @@
         let address = &fronts[(number + turn) % fronts.len()];
         let id = format!("{number:02x}{turn:06x}");
         let (head, body) = match turn % 2 {
-            0 => (format!("GET /clue/{id} HTTP/1.1\r\nHost: clue.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 2500\r\n"), ""),
-            _ => (format!("POST /fee/{id} HTTP/1.1\r\nHost: fee.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n"), "fee"),
+            0 => (
+                format!(
+                    "GET /clue/{id} HTTP/1.1\r\nHost: clue.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 2500\r\n"
+                ),
+                "",
+            ),
+            _ => (
+                format!(
+                    "POST /fee/{id} HTTP/1.1\r\nHost: fee.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 3000\r\n"
+                ),
+                "fee",
+            ),
         };
         let answer = http::ask(address, &head, body.as_bytes(), Duration::from_secs(3));
-        let told = answer.map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
+        let told =
+            answer.map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
         if let Ok(mut answers) = answers.lock() {
             answers.insert(id, told);
         }
@@ -129,9 +147,13 @@
     let in_touch = back + 2 * CONTACT_WINDOW + Duration::from_millis(500);
     let Ok(own) = own.lock() else { return true };
     let before = own.iter().filter(|(_, at)| *at < ack).count();
-    let late: Vec<_> = own.iter().filter(|(_, at)| *at > ack + DRAIN && (*at > in_touch || back == ack)).collect();
+    let late: Vec<_> =
+        own.iter().filter(|(_, at)| *at > ack + DRAIN && (*at > in_touch || back == ack)).collect();
     for (id, at) in late.iter().take(20) {
-        note(&format!("request {id} reaches the target {:.2} s after the acknowledgement", (*at - ack).as_secs_f64()));
+        note(&format!(
+            "request {id} reaches the target {:.2} s after the acknowledgement",
+            (*at - ack).as_secs_f64()
+        ));
     }
     let mut told = BTreeMap::<&str, usize>::new();
     if let Ok(answers) = answers.lock() {
@@ -140,7 +162,10 @@
         }
         note(&format!("answers to consumers: {told:?}"));
     }
-    note(&format!("{before} requests reached the target before the acknowledgement, {} later than drainMs after it, sent on by machines in touch", late.len()));
+    note(&format!(
+        "{before} requests reached the target before the acknowledgement, {} later than drainMs after it, sent on by machines in touch",
+        late.len()
+    ));
     if before < 10 {
         crate::cannot_run("the target was hardly used before it left");
     }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -9,6 +9,7 @@
 mod routes;
 mod stopping;
 mod target;
+mod wiping;
 
 use std::{
     fs::File,
@@ -42,7 +43,8 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
-    let (case, record) = (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
+    let (case, record) =
+        (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
     let Ok(file) = File::create(&record) else {
         eprintln!("review-2 CASE RECORD: {record:?} cannot be written");
         exit(2)
@@ -52,6 +54,7 @@
     let held = match case.as_str() {
         "founding" => founding::run(),
         "leaving" => leaving::run(),
+        "wiping" => wiping::run(),
         "routes" => routes::run(),
         "stopping" => stopping::run(),
         _ => cannot_run("there is no such case"),
--- a/review/standin-2/src/stopping.rs
+++ b/review/standin-2/src/stopping.rs
@@ -61,9 +61,13 @@
     for at in 0..fleet.machines.len() {
         fleet.start(at, true);
     }
-    let nodes: Vec<String> = fleet.with(Role::Core).into_iter().map(|at| fleet.control_address(at)).collect();
+    let nodes: Vec<String> =
+        fleet.with(Role::Core).into_iter().map(|at| fleet.control_address(at)).collect();
     sleep(Duration::from_secs(3));
-    if !matches!(operator::send(CONFIG, &nodes, Instant::now() + Duration::from_secs(20)), Order::Acked) {
+    if !matches!(
+        operator::send(CONFIG, &nodes, Instant::now() + Duration::from_secs(20)),
+        Order::Acked
+    ) {
         crate::cannot_run("the configuration is not acknowledged");
     }
     let ran = target::Ran::default();
@@ -82,10 +86,12 @@
     let (ready, balancing) = (fleet.ready_address(fronts[0]), press.clone());
     thread::spawn(move || balance(&ready, &balancing));
     note(&format!("{CONSUMERS} consumers before {TARGETS} targets of {} slots", KIND.slots));
-    let consumers: Vec<_> = (0..CONSUMERS).map(|number| {
-        let press = press.clone();
-        thread::spawn(move || consume(number, &press))
-    }).collect();
+    let consumers: Vec<_> = (0..CONSUMERS)
+        .map(|number| {
+            let press = press.clone();
+            thread::spawn(move || consume(number, &press))
+        })
+        .collect();
     sleep(Duration::from_secs(25));
     let signal = Instant::now();
     if trouble() {
@@ -96,7 +102,10 @@
     while signal.elapsed() < GRACE {
         if ended.is_none() && !fleet.runs(fronts[0]) {
             ended = Some(signal.elapsed());
-            note(&format!("its process has ended by itself: {}", fleet.ended(fronts[0]).unwrap_or_default()));
+            note(&format!(
+                "its process has ended by itself: {}",
+                fleet.ended(fronts[0]).unwrap_or_default()
+            ));
         }
         sleep(Duration::from_millis(5));
     }
@@ -108,7 +117,8 @@
     press.stop.store(true, Ordering::SeqCst);
     sleep(Duration::from_secs(9));
     drop(consumers);
-    let ran: HashSet<String> = ran.lock().map(|ran| ran.iter().map(|(id, _)| id.clone()).collect()).unwrap_or_default();
+    let ran: HashSet<String> =
+        ran.lock().map(|ran| ran.iter().map(|(id, _)| id.clone()).collect()).unwrap_or_default();
     judge(&press, &ran, signal)
 }
 
@@ -117,7 +127,8 @@
     let mut misses = 0;
     loop {
         let head = format!("GET /readiness HTTP/1.1\r\nHost: {ready}\r\n");
-        let well = http::ask(ready, &head, &[], Duration::from_secs(1)).is_ok_and(|answer| answer.status() == 200);
+        let well = http::ask(ready, &head, &[], Duration::from_secs(1))
+            .is_ok_and(|answer| answer.status() == 200);
         misses = if well { 0 } else { misses + 1 };
         press.out.store(misses >= 2, Ordering::SeqCst);
         sleep(Duration::from_secs(1));
@@ -136,7 +147,8 @@
         let (front, mut wire) = match kept.take() {
             Some(kept) => kept,
             None => {
-                let front = if press.out.load(Ordering::SeqCst) { 1 } else { usize::from(number % 3 == 2) };
+                let front =
+                    if press.out.load(Ordering::SeqCst) { 1 } else { usize::from(number % 3 == 2) };
                 let Ok(wire) = Wire::connect(&press.fronts[front], Duration::from_secs(1)) else {
                     sleep(Duration::from_millis(200));
                     continue;
@@ -145,7 +157,9 @@
             }
         };
         let id = format!("{number:04x}{turn:012x}");
-        let head = format!("GET /stock/{number}-{turn} HTTP/1.1\r\nHost: relief.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 40000\r\n\r\n");
+        let head = format!(
+            "GET /stock/{number}-{turn} HTTP/1.1\r\nHost: relief.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 40000\r\n\r\n"
+        );
         let at = Instant::now();
         let written = wire.write(head.as_bytes());
         let answer = match written.and_then(|()| wire.read(at + TIME_LIMIT)) {
@@ -153,7 +167,10 @@
             Ok(None) => Err("closed without an answer".to_owned()),
             Err(error) => Err(error.to_string()),
         };
-        let pause = answer.as_ref().ok().and_then(|answer| answer.header("retry-after")?.parse::<f64>().ok());
+        let pause = answer
+            .as_ref()
+            .ok()
+            .and_then(|answer| answer.header("retry-after")?.parse::<f64>().ok());
         let keeps = answer.as_ref().is_ok_and(|answer| {
             !answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
         });
@@ -184,21 +201,47 @@
         }
     }
     times.sort_unstable();
-    let part = |share: usize| times.get(times.len() * share / 100).map_or(0.0, Duration::as_secs_f64);
+    let part =
+        |share: usize| times.get(times.len() * share / 100).map_or(0.0, Duration::as_secs_f64);
     note(&format!("{} requests; answers: {told:?}", sent.len()));
-    note(&format!("before the signal: half are answered within {:.2} s, nine in ten within {:.2} s", part(50), part(90)));
-    let lost: Vec<&Sent> = sent.iter().filter(|one| {
-        one.front == 0 && one.answer.is_err() && !ran.contains(&one.id)
-            && one.ended > signal && one.ended < signal + GRACE + AFTER
-            && one.ended - one.at > LOSS_SLACK && one.ended - one.at < TIME_LIMIT
-    }).collect();
+    note(&format!(
+        "before the signal: half are answered within {:.2} s, nine in ten within {:.2} s",
+        part(50),
+        part(90)
+    ));
+    let lost: Vec<&Sent> = sent
+        .iter()
+        .filter(|one| {
+            one.front == 0
+                && one.answer.is_err()
+                && !ran.contains(&one.id)
+                && one.ended > signal
+                && one.ended < signal + GRACE + AFTER
+                && one.ended - one.at > LOSS_SLACK
+                && one.ended - one.at < TIME_LIMIT
+        })
+        .collect();
     for one in &lost {
-        let at = if one.at < signal { -(signal - one.at).as_secs_f64() } else { (one.at - signal).as_secs_f64() };
-        note(&format!("lost: {} sent {at:.2} s after the signal, its connection ended {:.2} s after it, at no target ({})",
-            one.id, (one.ended - signal).as_secs_f64(), one.answer.as_ref().err().map_or("", String::as_str)));
+        let at = if one.at < signal {
+            -(signal - one.at).as_secs_f64()
+        } else {
+            (one.at - signal).as_secs_f64()
+        };
+        note(&format!(
+            "lost: {} sent {at:.2} s after the signal, its connection ended {:.2} s after it, at no target ({})",
+            one.id,
+            (one.ended - signal).as_secs_f64(),
+            one.answer.as_ref().err().map_or("", String::as_str)
+        ));
     }
-    let cut = sent.iter().filter(|one| one.front == 0 && one.answer.is_err() && ran.contains(&one.id)).count();
-    note(&format!("{} requests lost that were at no target; {cut} more ended without an answer while a target had them (not judged)", lost.len()));
+    let cut = sent
+        .iter()
+        .filter(|one| one.front == 0 && one.answer.is_err() && ran.contains(&one.id))
+        .count();
+    note(&format!(
+        "{} requests lost that were at no target; {cut} more ended without an answer while a target had them (not judged)",
+        lost.len()
+    ));
     if told.get("200").copied().unwrap_or(0) < 100 {
         crate::cannot_run("fewer than 100 requests were served");
     }
--- a/review/standin-2/src/target.rs
+++ b/review/standin-2/src/target.rs
@@ -66,15 +66,17 @@
 /// Makes what a target says of itself while it is ready.
 pub fn beat(kind: Kind, address: &str, zone: &str, sequence: u64) -> String {
     format!(
-            "{{\"service\":\"desk\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+        "{{\"service\":\"desk\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
              \"slots\":{},\"state\":\"ready\",\"sequence\":{sequence},\"warmupLeftMs\":0}}",
-            kind.slots
+        kind.slots
     )
 }
 
 /// Says something to a node. Returns whether it acknowledges that.
 pub fn tell(node: &str, id: &str, what: &str, body: &str) -> bool {
-    let head = format!("POST /upstreams/{id}/{what} HTTP/1.1\r\nHost: {node}\r\nContent-Type: application/json\r\n");
+    let head = format!(
+        "POST /upstreams/{id}/{what} HTTP/1.1\r\nHost: {node}\r\nContent-Type: application/json\r\n"
+    );
     let answer = http::ask(node, &head, body.as_bytes(), Duration::from_secs(1));
     answer.is_ok_and(|answer| (200..300).contains(&answer.status()))
 }
@@ -88,13 +90,18 @@
             "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n".to_owned()
         } else if busy.fetch_add(1, Ordering::Relaxed) >= kind.slots + QUEUE {
             busy.fetch_sub(1, Ordering::Relaxed);
-            format!("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {name}\r\nServer-Stamp: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            format!(
+                "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {name}\r\nServer-Stamp: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            )
         } else {
             ran.lock().expect("no holder panics").push((name.clone(), Instant::now()));
             sleep(kind.work);
             busy.fetch_sub(1, Ordering::Relaxed);
             let body = format!("{name} by {id}");
-            format!("HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\nServer-Stamp: {id}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+            format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {name}\r\nServer-Stamp: {id}\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            )
         };
         if wire.write(answer.as_bytes()).is_err() {
             return;
