--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# All processes are killed right after the leaving of a target was acknowledged; a ping of it is late.
-# 1: broken, 0: held, 2: could not run. TROUBLE=0 leaves the kill out. Needs review/build-2.sh.
+# A front machine gets SIGTERM while requests wait for a slot. 1: broken, 0: held, 2: could not run.
+# TROUBLE=0 leaves the SIGTERM out. Needs review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 driver=target/review-2/release/review-2
 [ -x "$driver" ] && [ -x target/release/coltsfootcrank-vm ] || { echo "run review/build-2.sh first"; exit 2; }
-exec "$driver" leaving review/5/record.txt
+exec "$driver" stopping review/5/record.txt
