--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod leaving;
 mod operator;
+mod replacing;
 mod routes;
 mod stopping;
 mod target;
@@ -55,6 +56,7 @@
         "founding" => founding::run(),
         "leaving" => leaving::run(),
         "wiping" => wiping::run(),
+        "replacing" => replacing::run(),
         "routes" => routes::run(),
         "stopping" => stopping::run(),
         _ => cannot_run("there is no such case"),
--- a/review/standin-2/src/wiping.rs
+++ b/review/standin-2/src/wiping.rs
@@ -14,7 +14,7 @@
 };
 
 /// How long the two machines are without power (the site file's `after_ack_wipe` has 3 s).
-const DOWN: Duration = Duration::from_millis(1_100);
+pub const DOWN: Duration = Duration::from_millis(1_100);
 const RECOVERY: Duration = Duration::from_secs(15);
 const READ_FOR: Duration = Duration::from_secs(40);
 
@@ -55,7 +55,7 @@
         note("they are back at their addresses, with empty disks and bootstrap = false");
     }
     let back = Instant::now();
-    let held = read_back(&nodes, back);
+    let held = read_back(&nodes, back, 1);
     for &at in &cores {
         if let Some(end) = fleet.ended(at) {
             note(&format!("{} has ended by itself: {end}", fleet.machines[at].name));
@@ -66,7 +66,7 @@
 
 /// Reads the configuration back at each node in turn. It has to be what was acknowledged, `recoveryS` after
 /// all machines are back at the latest.
-fn read_back(nodes: &[String], back: Instant) -> bool {
+pub fn read_back(nodes: &[String], back: Instant, version: u64) -> bool {
     let (mut asked, mut refused) = (0, 0);
     let mut last = String::new();
     while back.elapsed() < READ_FOR {
@@ -75,7 +75,7 @@
             asked += 1;
             match http::ask(node, &head, &[], Duration::from_secs(1)) {
                 Ok(answer) if answer.status() == 200 => {
-                    let whole = answer.body == operator::document(1, 0).into_bytes();
+                    let whole = answer.body == operator::document(version, 0).into_bytes();
                     let took = back.elapsed();
                     note(&format!(
                         "{node} gives the configuration {} ms after all machines were back; as it was sent: {whole}",
@@ -97,11 +97,11 @@
         "the acknowledged configuration doesn't come: {asked} reads in {} s at all five nodes, {refused} answered with an error, the last {last}",
         READ_FOR.as_secs()
     ));
-    let order =
-        operator::send(&operator::document(2, 0), nodes, Instant::now() + Duration::from_secs(8));
-    note(&format!(
-        "a new configuration (version 2) is acknowledged: {}",
-        matches!(order, Order::Acked)
-    ));
+    let order = operator::send(
+        &operator::document(version + 1, 0),
+        nodes,
+        Instant::now() + Duration::from_secs(8),
+    );
+    note(&format!("a new configuration is acknowledged: {}", matches!(order, Order::Acked)));
     false
 }
