--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -14,13 +14,20 @@
 };
 use googletest::prelude::*;
 use model::{
-    config::ControlSettings,
+    call::CallClass,
+    config::{ControlSettings, ServiceRule},
     numbers::ConfigNumber,
     patch::{ConfigChange, ConfigPatch, PatchId},
+    route::RouteRule,
     secret::SharedSecret,
+    traffic::RouteTraffic,
 };
 use standin::call::{call, request};
-use tokio::time::sleep;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::sleep,
+};
 use uuid::Uuid;
 
 const SECRET: &str = "the secret of a test";
@@ -103,11 +110,16 @@
     /// Puts a lame-duck time in force and waits until the balancer is told "ready".
     async fn set_lame_duck(&self, lame_duck_ms: u32) {
         let settings = ControlSettings { lame_duck_ms, ..ControlSettings::default() };
+        self.put(vec![ConfigChange::PutSettings { settings }]).await;
+    }
+
+    /// Puts changes in force and waits until the balancer is told "ready".
+    async fn put(&self, changes: Vec<ConfigChange>) {
         let patch = ConfigPatch {
             id: PatchId(Uuid::now_v7()),
             base: ConfigNumber(0),
             author: "test".to_owned(),
-            changes: vec![ConfigChange::PutSettings { settings }],
+            changes,
         };
         let body = serde_json::to_vec(&patch).unwrap();
         let bearer = format!("Bearer {SECRET}");
@@ -137,7 +149,7 @@
     let daemon = Daemon::open().await;
     daemon.set_lame_duck(1_500).await;
     let (platform, callers) = (daemon.node.platform_address(), daemon.node.caller_address());
-    let stop = tokio::spawn(daemon.node.stop());
+    let stop = tokio::spawn(daemon.node.stop(None));
     let deadline = Instant::now() + PATIENCE;
     while health(platform).await != 503 {
         assert!(Instant::now() < deadline, "the health page does not fail");
@@ -158,7 +170,7 @@
     let drain = call(daemon.node.operator_address(), post);
     let (answer, ()) = tokio::join!(drain, async {
         daemon.node.drain_asked().await;
-        tokio::time::timeout(PATIENCE, daemon.node.stop()).await.unwrap();
+        tokio::time::timeout(PATIENCE, daemon.node.stop(None)).await.unwrap();
     });
     expect_that!(answer.unwrap().status.as_u16(), eq(200));
     let _ = std::fs::remove_dir_all(daemon.folder);
@@ -178,3 +190,42 @@
     daemon.node.kill();
     let _ = std::fs::remove_dir_all(daemon.folder);
 }
+
+// A stop with a limit was cut at it, with a call that nobody had answered and the exit code of a failure.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_with_a_limit_answers_each_call_and_ends_with_code_0() {
+    let daemon = Daemon::open().await;
+    let path = "/once".to_owned();
+    let rule = RouteRule {
+        host: None,
+        path,
+        methods: Vec::new(),
+        service: "desk".parse().unwrap(),
+        class: CallClass::Unprotected,
+        timeout_ms: 20_000,
+        public: false,
+        traffic: RouteTraffic::default(),
+    };
+    let service = ServiceRule::default();
+    daemon
+        .put(vec![
+            ConfigChange::PutService { name: "desk".parse().unwrap(), rule: service },
+            ConfigChange::PutRoute { name: "once".parse().unwrap(), rule },
+        ])
+        .await;
+    let mut caller = TcpStream::connect(daemon.node.caller_address()).await.unwrap();
+    let slow = b"POST /once HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\nslow";
+    caller.write_all(slow).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+
+    let limit = Duration::from_secs(3);
+    let stopped = finish(daemon.node.stop(Some(limit)), pending(), Some(limit)).await;
+
+    expect_that!(code(stopped), eq(0));
+    let mut answer = String::new();
+    let read = tokio::time::timeout(PATIENCE, caller.read_to_string(&mut answer)).await;
+    expect_that!(read.is_ok_and(|read| read.is_ok()), eq(true));
+    expect_that!(answer, starts_with("HTTP/1.1 503"));
+    let _ = std::fs::remove_dir_all(daemon.folder);
+}
