--- a/crates/control/src/fault.rs
+++ b/crates/control/src/fault.rs
@@ -57,6 +57,12 @@
         /// When to come back, in milliseconds.
         again_ms: u32,
     },
+    /// As many departures are kept as may be.
+    #[snafu(display("too many upstreams leave at once; say it again later"))]
+    ManyDepartures,
+    /// A VM of an earlier version has a seat, and could not read the command.
+    #[snafu(display("a control VM of an earlier version has a seat; update it first"))]
+    EarlierVersion,
 }
 
 /// Why a replica gave no answer.
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod command;
 pub mod config;
+pub mod departures;
 pub mod ledger;
 pub mod machine;
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -24,6 +24,11 @@
         hint.or_else(|| replicas.iter().find(|replica| !tried.contains(*replica))).cloned()
     }
 
+    /// Returns the replica that last led.
+    pub fn leader(&self, group: GroupNumber) -> Option<&MemberName> {
+        self.leaders.get(&group)
+    }
+
     /// Takes the word of a replica on who leads.
     pub fn learn(&mut self, group: GroupNumber, leader: Option<MemberName>) {
         match leader {
--- a/crates/fleet/src/replicas.rs
+++ b/crates/fleet/src/replicas.rs
@@ -138,6 +138,12 @@
         }
     }
 
+    /// Tells whether the VM that last led a group is one that does not know of what the messages have gained since.
+    pub(crate) fn is_led_by_earlier(&self, group: GroupNumber, since: WireRevision) -> bool {
+        let leader = self.hints().leader(group).cloned();
+        leader.is_some_and(|leader| self.shared.is_earlier(&leader, since))
+    }
+
     /// Lists the replicas, those first that can be reached.
     fn replicas(&self) -> Vec<MemberName> {
         let view = self.shared.view.load();
