--- a/crates/control/tests/departures.rs
+++ b/crates/control/tests/departures.rs
@@ -17,6 +17,9 @@
     numbers::IncarnationNumber,
 };
 
+/// The bytes of what snapshots hold behind what the version before knows, where there is none of it.
+const ADDED: usize = 4;
+
 const KEPT_MS: u64 = KEPT.as_millis() as u64;
 
 fn leaving(number: usize, life: u64) -> UpstreamAnnouncement {
@@ -106,7 +109,7 @@
     state.depart(record(0, 1, 1_000));
     let whole = state.encode();
     // The version before writes the part before the departures, and reads no further.
-    let before = &empty[..empty.len() - 3];
+    let before = &empty[..empty.len() - ADDED];
     expect_true!(whole.starts_with(before));
     expect_true!(ConfigState::decode(before).unwrap() == ConfigState::default());
 }
--- a/crates/fleet/src/feed.rs
+++ b/crates/fleet/src/feed.rs
@@ -20,15 +20,26 @@
     config::{ConfigImage, FleetConfig},
     moment::Moment,
     numbers::ConfigNumber,
-    patch::ConfigDelta,
+    patch::{ConfigChange, ConfigDelta},
 };
 
 /// How many differences are kept for peers that are behind. At 20,000 changes a day they reach back
 /// more than an hour; who was away longer takes the image.
 pub const DELTAS_KEPT: usize = 1_024;
 
-/// How many differences one answer holds at most.
+/// How many changes these differences have together.
+const CHANGES_KEPT: usize = 4_096;
+
+/// How many differences one answer holds at most, and after how many changes no further one.
 pub const DELTAS_SENT: usize = 64;
+const CHANGES_SENT: usize = 2_048;
+
+/// How many entries of a configuration one page lists.
+const PAGE_ENTRIES: usize = 2_048;
+
+/// How many configurations are held for those who read them page by page, the present one among them. They share what
+/// did not change; after a change of everything each takes memory of its own.
+const RECENT_KEPT: usize = 2;
 
 /// How many peers must have told their number before a VM reports ready.
 pub const READY_PEERS: usize = 3;
@@ -53,6 +64,27 @@
     },
 }
 
+/// What a VM that is behind is given, where it reads a whole configuration in pages.
+#[domain]
+pub enum ConfigStep {
+    /// Nothing: the asked VM is not ahead.
+    Nothing,
+    /// The differences that lead on, oldest first.
+    Deltas {
+        /// The differences.
+        deltas: Vec<ConfigDelta>,
+    },
+    /// The whole, page by page.
+    Pages {
+        /// Its number.
+        number: ConfigNumber,
+        /// The digest of its content.
+        digest: u64,
+        /// How many entries it has.
+        entries: u32,
+    },
+}
+
 /// What came of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FeedStep {
@@ -69,6 +101,7 @@
 pub struct ConfigFeed {
     present: FleetConfig,
     deltas: VecDeque<ConfigDelta>,
+    recent: VecDeque<FleetConfig>,
     heard: BTreeMap<SocketAddr, ConfigNumber>,
     opened: Moment,
     ready: bool,
@@ -80,6 +113,7 @@
         Self {
             present: FleetConfig::default(),
             deltas: VecDeque::new(),
+            recent: VecDeque::new(),
             heard: BTreeMap::new(),
             opened: now,
             ready: false,
@@ -107,6 +141,15 @@
         }
         let excess = self.deltas.len().saturating_sub(DELTAS_KEPT);
         self.deltas.drain(..excess);
+        let mut changes: usize = self.deltas.iter().map(|delta| delta.changes.len()).sum();
+        while changes > CHANGES_KEPT {
+            let Some(old) = self.deltas.pop_front() else { break };
+            changes -= old.changes.len();
+        }
+        self.recent.push_back(next.clone());
+        if self.recent.len() > RECENT_KEPT {
+            self.recent.pop_front();
+        }
         self.present = next;
         true
     }
@@ -116,29 +159,60 @@
         if number >= self.present.number() {
             return ConfigAnswer::Nothing;
         }
-        let first = self.deltas.iter().position(|delta| delta.from == number);
-        match first {
-            Some(first) if !whole => {
-                let deltas = self.deltas.range(first..).take(DELTAS_SENT).cloned().collect();
-                ConfigAnswer::Deltas { deltas }
-            }
+        match self.deltas_from(number) {
+            Some(deltas) if !whole => ConfigAnswer::Deltas { deltas },
             _ => ConfigAnswer::Image { image: self.present.to_image() },
         }
     }
 
+    /// Does the same for a peer that reads a whole configuration in pages.
+    pub fn step(&self, number: ConfigNumber, whole: bool) -> ConfigStep {
+        let present = &self.present;
+        if number >= present.number() {
+            return ConfigStep::Nothing;
+        }
+        match self.deltas_from(number) {
+            Some(deltas) if !whole => ConfigStep::Deltas { deltas },
+            _ => ConfigStep::Pages {
+                number: present.number(),
+                digest: present.digest(),
+                entries: u32::try_from(present.entry_count()).unwrap_or(u32::MAX),
+            },
+        }
+    }
+
+    /// Lists entries of a configuration that is held, from a place on. `None`: it is not held any more.
+    pub fn page(&self, number: ConfigNumber, first: u32) -> Option<Vec<ConfigChange>> {
+        let config = self.recent.iter().find(|config| config.number() == number)?;
+        Some(config.entries(first as usize, PAGE_ENTRIES))
+    }
+
+    fn deltas_from(&self, number: ConfigNumber) -> Option<Vec<ConfigDelta>> {
+        let first = self.deltas.iter().position(|delta| delta.from == number)?;
+        let mut changes = 0;
+        let within = |delta: &&ConfigDelta| {
+            let fits = changes < CHANGES_SENT;
+            changes += delta.changes.len();
+            fits
+        };
+        let deltas = self.deltas.range(first..).take(DELTAS_SENT).take_while(within);
+        Some(deltas.cloned().collect())
+    }
+
     /// Follows an answer, and puts what it makes in force.
     pub fn take(&mut self, answer: ConfigAnswer) -> FeedStep {
         match answer {
             ConfigAnswer::Nothing => FeedStep::Stay,
             ConfigAnswer::Deltas { deltas } => self.follow(deltas),
-            ConfigAnswer::Image { image } => {
-                let next = FleetConfig::from_image(image);
-                if self.put(next.clone(), Vec::new()) {
-                    FeedStep::Advance(next)
-                } else {
-                    FeedStep::Stay
-                }
-            }
+            ConfigAnswer::Image { image } => self.take_whole(FleetConfig::from_image(image)),
+        }
+    }
+
+    /// Takes a whole configuration, and puts it in force.
+    pub fn take_whole(&mut self, next: FleetConfig) -> FeedStep {
+        match self.put(next.clone(), Vec::new()) {
+            true => FeedStep::Advance(next),
+            false => FeedStep::Stay,
         }
     }
 
--- a/crates/operator/src/answers.rs
+++ b/crates/operator/src/answers.rs
@@ -228,7 +228,7 @@
         advice: &'static str,
     },
     /// The body is over the limit.
-    #[snafu(display("the body is over {limit} bytes; split the patch"))]
+    #[snafu(display("the body is over {limit} bytes; split it where it is a patch"))]
     TooLarge {
         /// The limit, in bytes.
         limit: usize,
@@ -301,6 +301,7 @@
             (StatusCode::SERVICE_UNAVAILABLE, ErrorCode::Unavailable)
         }
         ControlFault::NoSpace => (StatusCode::INSUFFICIENT_STORAGE, ErrorCode::NoSpace),
+        ControlFault::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, ErrorCode::TooLarge),
         ControlFault::Refused { .. } => (StatusCode::CONFLICT, ErrorCode::Refused),
     }
 }
