--- a/crates/control/src/state/departures.rs
+++ b/crates/control/src/state/departures.rs
@@ -10,6 +10,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use crate::replica::entry::ReplicaId;
 use derive::domain;
 use imbl::{HashMap, Vector};
 use model::{announcement::UpstreamAnnouncement, numbers::IncarnationNumber};
@@ -51,7 +52,7 @@
 }
 
 impl KeptDeparture {
-    fn new(place: u64, wall_ms: u64, announcement: &UpstreamAnnouncement) -> Self {
+    pub(crate) fn new(place: u64, wall_ms: u64, announcement: &UpstreamAnnouncement) -> Self {
         let bytes = postcard::to_stdvec(announcement).expect("domain types have a postcard form");
         Self { place, wall_ms, announcement: bytes.into() }
     }
@@ -66,6 +67,21 @@
     }
 }
 
+/// What one replica knows of departures.
+///
+/// Who has the reports of a majority of the voters, by each list of voters that these name, has all that was
+/// acknowledged before it asked: a majority has each departure in its log, and whoever has a later list of voters in
+/// its log names that.
+#[domain]
+pub struct DepartureReport {
+    /// The replica.
+    pub replica: ReplicaId,
+    /// The voters by its log. Empty: it holds nothing of the group.
+    pub voters: Vec<ReplicaId>,
+    /// What it keeps, and what its log holds beyond that. That may not have been acknowledged, but was said.
+    pub departures: Vec<Arc<KeptDeparture>>,
+}
+
 /// Names an upstream, by a hash of its service's name and its own.
 type UpstreamKey = u128;
 
--- a/crates/fleet/src/driver/recall.rs
+++ b/crates/fleet/src/driver/recall.rs
@@ -2,13 +2,17 @@
 
 use std::{sync::atomic::Ordering, time::Duration};
 
-use super::FleetDriver;
-use crate::{departures::list_departures, replicas::ReplicaCalls};
+use super::{FleetDriver, SharedState, inbox::WeakInbox};
+use crate::{
+    departures::{gather_departures, list_departures},
+    replicas::ReplicaCalls,
+};
 use log::info;
 use model::{
     announcement::{UpstreamAnnouncement, UpstreamState},
     moment::Moment,
 };
+use tokio::time::sleep;
 
 /// How long one question for the departures may take, and the pause after one in vain.
 const RECALL_WITHIN: Duration = Duration::from_secs(1);
@@ -22,22 +26,13 @@
         }
         self.recall_begun = true;
         self.shared.recalling.store(true, Ordering::Relaxed);
-        let (replicas, inbox) = (ReplicaCalls::new(self.shared.clone()), self.inbox.clone());
+        let (shared, inbox) = (self.shared.clone(), self.inbox.clone());
         tokio::spawn(async move {
-            loop {
-                // Without a VM that replicates nobody has acknowledged anything for good.
-                let alone = inbox.query(|driver| driver.has_no_replicas()).await;
-                let Some(alone) = alone else { return };
-                let listed = match alone {
-                    true => Some(Vec::new()),
-                    false => list_departures(&replicas, RECALL_WITHIN).await,
-                };
-                if let Some(departed) = listed {
-                    inbox.query(move |driver| driver.finish_recall(&departed)).await;
-                    return;
-                }
-                tokio::time::sleep(RECALL_PAUSE).await;
-            }
+            let departed = tokio::select! {
+                departed = from_majority(&shared, &inbox) => departed,
+                departed = from_leader(&shared) => departed,
+            };
+            inbox.query(move |driver| driver.finish_recall(&departed)).await;
         });
     }
 
@@ -84,3 +79,28 @@
         }
     }
 }
+
+/// Asks until a majority of the control VMs has told, or there are none.
+async fn from_majority(shared: &SharedState, inbox: &WeakInbox) -> Vec<UpstreamAnnouncement> {
+    loop {
+        // Without a VM that replicates nobody has acknowledged anything for good.
+        if inbox.query(|driver| driver.has_no_replicas()).await.unwrap_or(false) {
+            return Vec::new();
+        }
+        if let Some(departed) = gather_departures(shared).await {
+            return departed;
+        }
+        sleep(RECALL_PAUSE).await;
+    }
+}
+
+/// Asks until the leader has told.
+async fn from_leader(shared: &SharedState) -> Vec<UpstreamAnnouncement> {
+    let replicas = ReplicaCalls::new(shared.clone());
+    loop {
+        if let Some(departed) = list_departures(&replicas, RECALL_WITHIN).await {
+            return departed;
+        }
+        sleep(RECALL_PAUSE).await;
+    }
+}
--- a/crates/fleet/src/recall.rs
+++ b/crates/fleet/src/recall.rs
@@ -2,7 +2,7 @@
 //!
 //! Failure: all VMs start anew, and an announcement that an upstream made before it left arrives late. Symptom: the
 //! upstream gets work again after it was told that it may go. Only the control state still knows then. So a VM that
-//! takes announcements has the leader list the departures first; what it hears before is held, and used
+//! takes announcements has the control VMs list the departures first, a majority of them or their leader; what it hears before is held, and used
 //! afterwards if its upstream has not departed. It remembers the departures that it hears from then on.
 
 use std::{
@@ -11,7 +11,10 @@
 };
 
 use crate::fact::{FactKey, upstream_key};
-use control::state::departures::KEPT;
+use control::{
+    replica::entry::ReplicaId,
+    state::departures::{DepartureReport, KEPT},
+};
 use model::{announcement::UpstreamAnnouncement, moment::Moment, numbers::IncarnationNumber};
 
 /// How many upstreams' announcements are held until the departures are known. Others come again by themselves.
@@ -20,6 +23,21 @@
 /// For how long a departure is remembered: as long as the control state keeps it.
 const REMEMBERED: Duration = KEPT;
 
+/// Tells whether these reports hold all departures that were acknowledged before they were asked for: they are of a
+/// majority of the voters, by each list of voters that they name.
+///
+/// Failure: a replica that was away names those who voted once. Symptom: a majority of these knows nothing of what was
+/// acknowledged since. One of them has the next list in its log, as a change of voters is committed by both majorities,
+/// and that list has to have its majority as well.
+pub fn is_complete(reports: &[DepartureReport]) -> bool {
+    let has_reported = |voter: &ReplicaId| reports.iter().any(|report| report.replica == *voter);
+    let mut lists = reports.iter().map(|report| &report.voters).filter(|list| !list.is_empty());
+    let by_majority = |list: &Vec<ReplicaId>| {
+        list.iter().filter(|voter| has_reported(voter)).count() * 2 > list.len()
+    };
+    lists.clone().next().is_some() && lists.all(by_majority)
+}
+
 /// The departures that a VM knows of, and the announcements that wait until it knows them.
 #[derive(Debug, Default)]
 pub struct DepartureMemory {
--- a/crates/fleet/tests/recall.rs
+++ b/crates/fleet/tests/recall.rs
@@ -4,7 +4,11 @@
 
 use std::time::Duration;
 
-use fleet::{handle::FleetNode, recall::DepartureMemory};
+use control::{replica::entry::ReplicaId, state::departures::DepartureReport};
+use fleet::{
+    handle::FleetNode,
+    recall::{DepartureMemory, is_complete},
+};
 use googletest::prelude::*;
 use model::{
     announcement::{UpstreamAnnouncement, UpstreamState},
@@ -180,3 +184,26 @@
     memory.expire(at(900_000));
     expect_false!(memory.has_departed(&serving("a", 1)));
 }
+
+fn report(replica: u64, voters: &[u64]) -> DepartureReport {
+    let voters = voters.iter().map(|&id| ReplicaId(id)).collect();
+    DepartureReport { replica: ReplicaId(replica), voters, departures: Vec::new() }
+}
+
+// Too few control VMs, or those who voted once, are taken for all who know of departures.
+#[gtest]
+fn departures_are_complete_with_a_majority_by_each_list_of_voters() {
+    let all = [1, 2, 3, 4, 5];
+    expect_false!(is_complete(&[]));
+    expect_false!(is_complete(&[report(1, &[]), report(2, &[])]), "nothing is founded");
+    expect_false!(is_complete(&[report(1, &all), report(2, &all)]));
+    expect_true!(is_complete(&[report(1, &all), report(2, &all), report(5, &all)]));
+    // Two lost their disks: what they say now is another's.
+    expect_false!(is_complete(&[report(1, &all), report(2, &all), report(9, &[])]));
+    // Two that were away, and one that knows who votes now.
+    let (before, now) = ([1, 2, 3], [3, 4, 5]);
+    expect_true!(is_complete(&[report(1, &before), report(2, &before)]));
+    expect_false!(is_complete(&[report(1, &before), report(2, &before), report(3, &now)]));
+    let both = [report(1, &before), report(2, &before), report(3, &now), report(4, &now)];
+    expect_true!(is_complete(&both));
+}
