framing, upstream: an answer in a coding that is not understood is no answer

What callers saw: 200 with `content-length: 25` and the sizes of chunks as part of the body, where an upstream had sent `Transfer-Encoding: chunkex` (also empty, twice, with a parameter, a list, another coding); 503 "not-run" where a refusal had such a head. Idempotent calls were not tried again, the ledger kept the body for resends, and the upstream was credited with a success.

Cause: a head was judged by whom it names and never by its framing. The HTTP library takes a coding that it does not know for "until the connection ends", which HTTP allows to who only reads, and not to a proxy that writes a head of its own before the body (RFC 9112, 6.1 and 6.3).

Change: a crate of its own, `framing`, decides whether a head is sound, before a field of it is believed. What it refuses ends its connection, counts as a failing answer (between two VMs as a lost connection, which says nothing of the upstream), proves nothing, and states neither rate, rest nor leaving. Only `chunked`, alone, is understood: no other coding is asked for, so none is undone, and a list that ends with `chunked` would reach callers encoded.

Evidence: red on: `an_answer_in_a_coding_that_is_not_understood_is_no_answer`, `a_refusal_with_a_broken_head_proves_nothing`, `a_broken_head_says_nothing_of_its_upstream`, `an_idempotent_call_goes_on_to_another_upstream_after_a_broken_head`. Held there already, tests only: `a_status_line_that_is_none_is_no_answer`, `a_line_that_is_no_field_makes_no_answer`, `a_length_that_is_none_makes_no_answer`. Each shape goes on new and reused connections, itself and through a carrier, for callers of HTTP/1.1 and HTTP/2, on routes of all three classes.

--- /dev/null
+++ b/crates/caller/tests/broken_heads.rs
@@ -0,0 +1,219 @@
+//! Answers whose head is broken are none: no byte of them reaches a caller, and they prove nothing.
+
+mod support;
+
+use futures::future::join_all;
+use googletest::prelude::*;
+use model::{
+    call::{OutcomeClass, RATE_HEADER},
+    slot::StatedTerms,
+};
+use standin::call::{call, request};
+use support::{
+    TestVm,
+    carriers::FakeCarriers,
+    copies::headers,
+    scripted::{AnswerEnd, ScriptedUpstream},
+    scripted_call::{ROUTES, SPOKEN, ScriptedCase, Spoken, WAYS, is_unknown},
+};
+
+/// What each of these answers begins with, before the lines that a test is about.
+const START: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\n";
+
+/// The same for a refusal, which says that the call was not run.
+const REFUSAL_START: &str = "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-signed: 1\r\nx-not-run: 1\r\n";
+
+const CHUNKS: &str = "5\r\nwhole\r\n5\r\n-body\r\n0\r\n\r\n";
+
+/// Checks that a caller learns that there is no answer, and that the upstream is charged.
+async fn expect_no_answer(
+    case: &mut ScriptedCase,
+    bytes: &str,
+    spoken: Spoken,
+    route: (&str, &str),
+    what: &str,
+) {
+    case.answer_next(bytes.as_bytes()).await;
+    let answer = case.ask(spoken, route).await;
+    expect_true!(answer.as_ref().is_some_and(is_unknown), "{what}: {answer:?}");
+    case.expect_free(what).await;
+    let outcomes = case.vm.slots.outcomes();
+    expect_that!(outcomes.last(), some(eq(&OutcomeClass::ErrorAnswer)), "{what}");
+    if route.0 != "GET" {
+        expect_that!(case.requests(), eq(1), "{what}: it runs once");
+    }
+}
+
+/// Checks this of each of these answers on these routes, whichever way the calls go.
+async fn expect_no_answers_on<B: AsRef<str>>(
+    routes: &[(&str, &str)],
+    answers: impl IntoIterator<Item = B>,
+    end: AnswerEnd,
+) {
+    let answers: Vec<B> = answers.into_iter().collect();
+    let calls =
+        |bytes| SPOKEN.into_iter().flat_map(move |s| routes.iter().map(move |&r| (bytes, s, r)));
+    join_all(WAYS.map(|way| {
+        let calls = answers.iter().flat_map(calls);
+        async move {
+            let mut case = ScriptedCase::open(b"", end, way).await;
+            for (bytes, spoken, route) in calls {
+                let bytes = bytes.as_ref();
+                let what = format!("{bytes:?} {end:?} {way:?} {spoken:?} {route:?}");
+                expect_no_answer(&mut case, bytes, spoken, route, &what).await;
+            }
+        }
+    }))
+    .await;
+}
+
+async fn expect_no_answers<B: AsRef<str>>(answers: impl IntoIterator<Item = B>, end: AnswerEnd) {
+    expect_no_answers_on(&ROUTES, answers, end).await;
+}
+
+/// Heads with these lines after the usual ones, and a body.
+fn with_lines(start: &str, lines: &[&str], body: &str) -> Vec<String> {
+    lines.iter().map(|lines| format!("{start}{lines}\r\n{body}")).collect()
+}
+
+// A spoilt transfer coding is read as "until the connection ends", and the sizes of chunks reach callers as a body.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_in_a_coding_that_is_not_understood_is_no_answer() {
+    let lines = [
+        "transfer-encoding: chunkex\r\n",
+        "transfer-encoding: \r\n",
+        "transfer-encoding: chunked, x\r\n",
+        "transfer-encoding: chunked,\r\n",
+        "transfer-encoding: gzip, chunked\r\n",
+        "transfer-encoding: chunked, chunked\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
+        "transfer-encoding: chunked;a=b\r\n",
+        "transfer-encoding: identity\r\n",
+        "transfer-encoding: ch\u{fc}nked\r\n",
+    ];
+    expect_no_answers(with_lines(START, &lines, CHUNKS), AnswerEnd::Close).await;
+}
+
+// A refusal with a broken head is believed in that the call was not run, and its caller sends it again.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_refusal_with_a_broken_head_proves_nothing() {
+    let lines = ["transfer-encoding: chunkex\r\n"];
+    expect_no_answers(with_lines(REFUSAL_START, &lines, CHUNKS), AnswerEnd::Close).await;
+}
+
+// What a broken head says of its upstream is believed: that it wants rest, leaves, or takes so many calls.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_broken_head_says_nothing_of_its_upstream() {
+    let lines = format!("retry-after: 9\r\nx-leaving: 1\r\n{RATE_HEADER}: 1\r\n");
+    let broken = "transfer-encoding: chunkex\r\n\r\n";
+    for (start, way) in
+        [START, REFUSAL_START].into_iter().flat_map(|start| WAYS.map(|w| (start, w)))
+    {
+        let answer = format!("{start}{lines}{broken}{CHUNKS}");
+        let mut case = ScriptedCase::open(answer.as_bytes(), AnswerEnd::Stay, way).await;
+        case.ask(Spoken::Http1, ("POST", "/once")).await;
+        case.expect_free("once").await;
+        let settle = case.vm.slots.settles.lock().unwrap().pop().unwrap();
+        expect_that!(settle.stated, eq(StatedTerms::default()), "{start} {way:?}");
+    }
+}
+
+// The library reads no such head today. It must not come to pass one on.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_status_line_that_is_none_is_no_answer() {
+    let rest = "x-id: {id}\r\nx-signed: 1\r\ncontent-length: 10\r\n\r\nwhole-body";
+    let lines = [
+        "HTTP/1.1 000 OK",
+        "HTTP/1.1 099 OK",
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 OK",
+        "HTTP/1.1  200 OK",
+        "HTTP/1.2 200 OK",
+        "HTTP/2.0 200 OK",
+        "http/1.1 200 OK",
+        "no answer",
+        "HTTP/1.1 200 O\u{0}K",
+    ];
+    let answers = lines.map(|line| format!("{line}\r\n{rest}"));
+    expect_no_answers(answers, AnswerEnd::Close).await;
+}
+
+// The same for lines of a head that are no fields.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_line_that_is_no_field_makes_no_answer() {
+    let lines = [
+        "x a: b",
+        "x\ta: b",
+        "x\u{1}a: b",
+        "x\u{0}a: b",
+        "x-a : b",
+        "x-a\t: b",
+        " x-a: b",
+        "x-a",
+        ": b",
+        "x-a: b\r\n folded",
+        "x-a: b\r\n\tfolded",
+        "x-a: \u{0}",
+        "x-a: \u{7f}",
+        "x-a: \u{1}",
+        "x-a: b\rc",
+        "x-a: b\r\r",
+        "x\u{e4}: b",
+        "x(a): b",
+    ];
+    let rest = "content-length: 10\r\n\r\nwhole-body";
+    let answers = lines.map(|line| format!("{START}{line}\r\n{rest}"));
+    expect_no_answers(answers, AnswerEnd::Close).await;
+}
+
+// The same for lengths and codings that say nothing, or more than one thing.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_length_that_is_none_makes_no_answer() {
+    let lengths = [
+        "content-length: zz",
+        "content-length: +10",
+        "content-length: -10",
+        "content-length: 0xa",
+        "content-length: ",
+        "content-length: 10, 11",
+        "content-length: 10\r\ncontent-length: 11",
+        "content-length: 10 10",
+        "content-length: 1e1",
+        "content-length: 10,",
+        "content-length: 99999999999999999999999",
+    ];
+    let answers = lengths.map(|line| format!("{START}{line}\r\n\r\nwhole-body"));
+    expect_no_answers(answers, AnswerEnd::Close).await;
+    let rest = "x-id: {id}\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+    expect_no_answers([format!("HTTP/1.0 200 OK\r\n{rest}{CHUNKS}")], AnswerEnd::Close).await;
+}
+
+// A broken answer of an idempotent call ends it, though another upstream has a sound one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_idempotent_call_goes_on_to_another_upstream_after_a_broken_head() {
+    let broken = format!("{START}transfer-encoding: chunkex\r\n\r\n{CHUNKS}");
+    let sound = format!("{START}content-length: 10\r\n\r\nwhole-body");
+    let first = ScriptedUpstream::spawn(40, broken.as_bytes(), AnswerEnd::Close).await;
+    let second = ScriptedUpstream::spawn(0, sound.as_bytes(), AnswerEnd::Stay).await;
+    let own = FakeCarriers::open("vm-0", "pettah").await;
+    let vm = TestVm::speaking(headers(), own, &[first.address(), second.address()]).await;
+    let ask = || request("GET", "/read", &[("x-id", "one")], b"");
+    // Saves up a second try.
+    for _ in 0..40 {
+        call(vm.address(), ask()).await.unwrap();
+    }
+    let answer = call(vm.address(), ask()).await.unwrap();
+    expect_that!((answer.status.as_u16(), &answer.body[..]), eq((200, &b"whole-body"[..])));
+    let outcomes = vm.slots.outcomes();
+    let last = &outcomes[outcomes.len() - 2..];
+    expect_that!(last, eq(&[OutcomeClass::ErrorAnswer, OutcomeClass::Success]));
+}
--- a/crates/upstream/src/answer_stream.rs
+++ b/crates/framing/src/stream.rs
@@ -1,4 +1,4 @@
-//! Counts the bytes of an upstream's answers on their way to the HTTP library.
+//! Watches the bytes of answers on their way to the HTTP library.
 //!
 //! The library reads on for as long as bytes come that are part of no answer: heads that only precede another head,
 //! digits of a chunk's size, blanks. The stream fails once more have come than an answer of use has between two of its
@@ -11,21 +11,24 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
+use http::Response;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
+use crate::head::{HeadFault, check_head};
+
 /// How many bytes may come after a piece of an answer before the next piece, a head or a part of a body, is taken.
 /// The HTTP library reads ahead, so what it buffers is among them.
 const PIECE_LIMIT: u64 = 256 * 1_024;
 
 /// An upstream has sent too many bytes that are no part of an answer.
 #[derive(Debug)]
-pub(crate) struct NoAnswerInBytes;
+pub struct NoAnswerInBytes;
 
 impl fmt::Display for NoAnswerInBytes {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -37,47 +40,63 @@
 
 impl NoAnswerInBytes {
     /// Tells whether an error of the HTTP library comes from this.
-    pub(crate) fn caused(error: &io::Error) -> bool {
+    pub fn caused(error: &io::Error) -> bool {
         error.get_ref().is_some_and(|inner| inner.is::<Self>())
     }
 }
 
-/// Counts the bytes that come on a connection.
+/// What was seen of the bytes that come on a connection.
 #[derive(Debug, Default)]
-pub(crate) struct ReadMeter {
+pub struct AnswerWatch {
     read: AtomicU64,
     piece_began: AtomicU64,
 }
 
-impl ReadMeter {
-    /// Notes that a request goes out or a piece of its answer was taken.
-    pub(crate) fn begin_piece(&self) {
+impl AnswerWatch {
+    /// Notes that a request goes out. What comes from now on is its answer.
+    pub fn begin_answer(&self) {
+        self.begin_piece();
+    }
+
+    /// Notes that a piece of an answer was taken.
+    pub fn begin_piece(&self) {
         self.piece_began.store(self.read.load(Ordering::Relaxed), Ordering::Relaxed);
     }
 
     /// Tells whether anything has come since the last piece.
-    pub(crate) fn has_read(&self) -> bool {
+    pub fn has_read(&self) -> bool {
         self.pending() > 0
     }
 
+    /// Decides whether the answer that the HTTP library has read is sound.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the answer must not be used, whatever it says.
+    pub fn judge<B>(&self, answer: &Response<B>) -> Result<(), HeadFault> {
+        check_head(answer)
+    }
+
     fn pending(&self) -> u64 {
         self.read.load(Ordering::Relaxed).saturating_sub(self.piece_began.load(Ordering::Relaxed))
     }
 }
 
-/// A connection to an upstream whose bytes are counted.
-pub(crate) struct AnswerStream {
+/// A connection to an upstream whose bytes are watched.
+pub struct AnswerStream {
     stream: TcpStream,
-    meter: Arc<ReadMeter>,
+    watch: Arc<AnswerWatch>,
 }
 
 impl AnswerStream {
-    pub(crate) fn new(stream: TcpStream) -> Self {
-        Self { stream, meter: Arc::default() }
+    /// Watches a connection on which nothing was asked yet.
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, watch: Arc::default() }
     }
 
-    pub(crate) fn meter(&self) -> Arc<ReadMeter> {
-        self.meter.clone()
+    /// Returns what is seen.
+    pub fn watch(&self) -> Arc<AnswerWatch> {
+        self.watch.clone()
     }
 }
 
@@ -87,14 +106,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.meter.pending() > PIECE_LIMIT {
+        if self.watch.pending() > PIECE_LIMIT {
             return Poll::Ready(Err(io::Error::other(NoAnswerInBytes)));
         }
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let count = buffer.filled().len() - before;
-        self.meter.read.fetch_add(count as u64, Ordering::Relaxed);
-        read
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let bytes = &buffer.filled()[before..];
+        self.watch.read.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(()))
     }
 }
 
