framing, upstream: a status that HTTP does not have is no answer

What callers saw: an answer of status 600 or 999, as the upstream had sent it, counted as a success.

Decided: refused. HTTP has final answers of 200 to 599 (RFC 9110, 15); a caller cannot know what another one means, and a client is to take it for a failure of the server. Passed on it would be neither, and the upstream would be credited.

Change: the check of the head takes 200 to 599.

--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -153,6 +153,16 @@
     }
 }
 
+// HTTP has no final answer of such a status, and callers cannot know what it means.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_of_a_status_that_http_does_not_have_is_no_answer() {
+    let rest = "x-id: {id}\r\nx-signed: 1\r\ncontent-length: 10\r\n\r\nwhole-body";
+    let statuses = ["600", "999", "700 OK", "101 Switching Protocols"];
+    let answers = statuses.map(|status| format!("HTTP/1.1 {status}\r\n{rest}"));
+    expect_no_answers(answers, AnswerEnd::Stay).await;
+}
+
 // The library reads no such head today. It must not come to pass one on.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/framing/src/head.rs
+++ b/crates/framing/src/head.rs
@@ -12,6 +12,8 @@
 pub enum HeadFault {
     /// The HTTP library cannot read it.
     Unreadable,
+    /// Its status is none that ends an exchange of HTTP.
+    Status,
     /// It states a length that is no number, or several lengths.
     Length,
     /// It states a transfer coding that is not understood.
@@ -22,13 +24,14 @@
 
 impl HeadFault {
     /// Each fault, in the order of its declaration.
-    pub const ALL: [Self; 4] =
-        [Self::Unreadable, Self::Length, Self::Coding, Self::LengthBesideCoding];
+    pub const ALL: [Self; 5] =
+        [Self::Unreadable, Self::Status, Self::Length, Self::Coding, Self::LengthBesideCoding];
 
     /// Returns its name in log lines and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Unreadable => "unreadable",
+            Self::Status => "status",
             Self::Length => "length",
             Self::Coding => "coding",
             Self::LengthBesideCoding => "length-beside-coding",
@@ -84,6 +87,9 @@
 /// Fails where the head does not say that, or says it in two ways.
 pub fn body_end<B>(asked: &Method, answer: &Response<B>) -> Result<BodyEnd, HeadFault> {
     let (status, headers) = (answer.status(), answer.headers());
+    if !ends_exchange(status) {
+        return Err(HeadFault::Status);
+    }
     if status == StatusCode::NO_CONTENT {
         return Ok(BodyEnd::WithHead { stated_length: None });
     }
@@ -102,6 +108,11 @@
     })
 }
 
+/// Tells whether HTTP has a final answer of this status (RFC 9110, section 15).
+fn ends_exchange(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reads the length that a head states. The same length may stand there more than once (RFC 9112, section 6.3).
 fn stated_length(headers: &HeaderMap) -> Result<Option<u64>, HeadFault> {
     let mut stated = None;
