framing: a head that states a body where there can be none is no answer

What callers saw: 204 and 304 as whole answers whose heads said in letters how long the body is, or that it comes in chunks. The next bytes of such an upstream are that body, where the head of the next answer is due.

Decided: a 204 with a length of 0 stays served, since upstreams send it and it says what is the case. With any other length or a coding it is broken: HTTP lets nobody send these (RFC 9110, 8.6; RFC 9112, 6.1). A 304, and the answer to HEAD, may state either; a spoilt one, or both, is broken as in any other head.

Held: `sound_answers_without_a_body_and_after_interim_heads_reach_callers`.

--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -238,6 +238,26 @@
     expect_no_answers([format!("HTTP/1.0 200 OK\r\n{rest}{CHUNKS}")], AnswerEnd::Close).await;
 }
 
+// An answer without a body goes to callers although its head says in two ways whether there is one.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_broken_head_without_a_body_is_no_answer() {
+    let rest = "x-id: {id}\r\nx-signed: 1\r\n";
+    let bodiless = ["content-length: zz", "content-length: 4", "transfer-encoding: chunked"];
+    let not_modified = [
+        "content-length: zz",
+        "content-length: 4\r\ncontent-length: 5",
+        "transfer-encoding: chunkex",
+        "content-length: 4\r\ntransfer-encoding: chunked",
+    ];
+    let answers = bodiless.map(|line| format!("HTTP/1.1 204 None\r\n{rest}{line}\r\n\r\n"));
+    expect_no_answers(answers, AnswerEnd::Stay).await;
+    let answers = not_modified.map(|line| format!("HTTP/1.1 304 Same\r\n{rest}{line}\r\n\r\n"));
+    expect_no_answers(answers, AnswerEnd::Stay).await;
+    let answers = not_modified.map(|line| format!("{START}{line}\r\n\r\n"));
+    expect_no_answers_on(&[("HEAD", "/once")], answers, AnswerEnd::Stay).await;
+}
+
 /// Checks that a caller gets this answer whole.
 async fn expect_answer(
     case: &mut ScriptedCase,
@@ -314,6 +334,33 @@
     expect_answers(&whole, AnswerEnd::Stay).await;
 }
 
+// Answers without a body, and heads before the answer's, are refused with the broken ones.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sound_answers_without_a_body_and_after_interim_heads_reach_callers() {
+    let rest = "x-id: {id}\r\nx-signed: 1\r\n";
+    let empty = ["", "content-length: 0\r\n"]
+        .map(|lines| format!("HTTP/1.1 204 None\r\n{rest}{lines}\r\n"))
+        .map(sound(204, ""));
+    expect_answers(&empty, AnswerEnd::Stay).await;
+    let same = ["", "content-length: 7\r\n", "transfer-encoding: chunked\r\n"]
+        .map(|lines| format!("HTTP/1.1 304 Same\r\n{rest}{lines}\r\n"))
+        .map(sound(304, ""));
+    expect_answers(&same, AnswerEnd::Stay).await;
+    let interim = [
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 100 \r\n\r\n",
+        "HTTP/1.1 100 Continue\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n",
+        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n",
+    ];
+    for tail in ["content-length: 10\r\n\r\nwhole-body", "\r\nwhole-body"] {
+        let whole =
+            interim.map(|interim| format!("{interim}{START}{tail}")).map(sound(200, "whole-body"));
+        expect_answers(&whole, AnswerEnd::Close).await;
+    }
+}
+
 // The length that an answer to HEAD states is the only one that says nothing of its own body. It is lost with the others.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/framing/src/head.rs
+++ b/crates/framing/src/head.rs
@@ -20,12 +20,20 @@
     Coding,
     /// It states a length beside a transfer coding.
     LengthBesideCoding,
+    /// It states a body where its status allows none.
+    BodyNotAllowed,
 }
 
 impl HeadFault {
     /// Each fault, in the order of its declaration.
-    pub const ALL: [Self; 5] =
-        [Self::Unreadable, Self::Status, Self::Length, Self::Coding, Self::LengthBesideCoding];
+    pub const ALL: [Self; 6] = [
+        Self::Unreadable,
+        Self::Status,
+        Self::Length,
+        Self::Coding,
+        Self::LengthBesideCoding,
+        Self::BodyNotAllowed,
+    ];
 
     /// Returns its name in log lines and metrics.
     pub fn as_str(self) -> &'static str {
@@ -35,6 +43,7 @@
             Self::Length => "length",
             Self::Coding => "coding",
             Self::LengthBesideCoding => "length-beside-coding",
+            Self::BodyNotAllowed => "body-not-allowed",
         }
     }
 }
@@ -91,6 +100,7 @@
         return Err(HeadFault::Status);
     }
     if status == StatusCode::NO_CONTENT {
+        check_bodiless(headers)?;
         return Ok(BodyEnd::WithHead { stated_length: None });
     }
     let length = stated_length(headers)?;
@@ -108,6 +118,21 @@
     })
 }
 
+/// Checks a head that ends without a body whatever it says: that of an interim answer or of one without content.
+///
+/// Upstreams send "content-length: 0" on these though HTTP has no place for it, and mean what it says.
+///
+/// # Errors
+///
+/// Fails where it states a body all the same. Who sent it goes on with that body where the next head is due.
+pub fn check_bodiless(headers: &HeaderMap) -> Result<(), HeadFault> {
+    let coded = headers.contains_key(header::TRANSFER_ENCODING);
+    if coded || stated_length(headers)?.is_some_and(|length| length > 0) {
+        return Err(HeadFault::BodyNotAllowed);
+    }
+    Ok(())
+}
+
 /// Tells whether HTTP has a final answer of this status (RFC 9110, section 15).
 fn ends_exchange(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
