framing: a head that a line feed ends early is no answer

What callers saw: 200 with fields of the head as its body (`Content-Length: 10\r\n\r\nwhole-body`), or with a body cut to a length that stood behind a line feed; the same after a 100, and 503 "not-run" where a refusal was so.

Cause: the HTTP library takes a line feed alone for the end of a line, and two for the end of the head. RFC 9112, 2.2, allows that to a recipient; a proxy that does so and another reader end the head at two places. No setting of the library is strict, and the parsed head does not show it.

Weighed: parse the bytes a second time with the library's parser, which is as lenient; read the head ourselves and hand the library a clean one, which would be a parser of our own; check the ends of lines where the bytes pass anyhow. The last: the stream that counts an answer's bytes follows its lines from the request to the end of the head, over interim heads, and fails at a line feed without a carriage return, at a carriage return without a line feed, and at an empty line before the status. What follows the head is not looked at.

A head that the library hands out although none has passed since its request was left over from an earlier answer, and is refused too ("unasked").

--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -123,6 +123,42 @@
     expect_no_answers(with_lines(START, &lines, CHUNKS), AnswerEnd::Stay).await;
 }
 
+// A line feed that went astray ends the head early, and fields of the head reach callers as the body.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_a_line_feed_ends_early_is_no_answer() {
+    let tails = [
+        "\ncontent-length: 10\r\n\r\nwhole-body",
+        "x-a: b\n\ncontent-length: 10\r\n\r\nwhole-body",
+        "x-a: b\r\n\ncontent-length: 10\r\n\r\nwhole-body",
+        "x-a: b\ncontent-length: 4\n\r\nwhole-body",
+        "x-a: b\ncontent-length: 10\r\n\r\nwhole-body",
+        "content-length: 10\r\n\nwhole-body",
+    ];
+    let answers = tails.map(|tail| format!("{START}{tail}"));
+    expect_no_answers(answers, AnswerEnd::Close).await;
+    let first_lines = [
+        "HTTP/1.1 200 OK\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 10\r\n\r\nwhole-body",
+        "\nHTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 10\r\n\r\nwhole-body",
+        "\r\nHTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 10\r\n\r\nwhole-body",
+    ];
+    expect_no_answers(first_lines, AnswerEnd::Close).await;
+}
+
+// The same in a head that precedes the answer's: the rest of it is read as the answer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_interim_head_that_a_line_feed_ends_early_is_no_answer() {
+    let interim = [
+        "HTTP/1.1 100 Continue\n\n",
+        "HTTP/1.1 100 Continue\r\n\n",
+        "HTTP/1.1 103 Early Hints\r\nlink: </a>\n\r\n",
+    ];
+    let rest = "content-length: 10\r\n\r\nwhole-body";
+    let answers = interim.map(|interim| format!("{interim}{START}{rest}"));
+    expect_no_answers(answers, AnswerEnd::Close).await;
+}
+
 // A refusal with a broken head is believed in that the call was not run, and its caller sends it again.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -133,6 +169,9 @@
         "content-length: zz\r\ntransfer-encoding: chunked\r\n",
     ];
     expect_no_answers(with_lines(REFUSAL_START, &lines, CHUNKS), AnswerEnd::Close).await;
+    let tails =
+        ["\ncontent-length: 4\r\n\r\nfull", "retry-after: 9\ncontent-length: 4\r\n\r\nfull"];
+    expect_no_answers(tails.map(|tail| format!("{REFUSAL_START}{tail}")), AnswerEnd::Close).await;
 }
 
 // What a broken head says of its upstream is believed: that it wants rest, leaves, or takes so many calls.
--- a/crates/framing/src/head.rs
+++ b/crates/framing/src/head.rs
@@ -12,6 +12,10 @@
 pub enum HeadFault {
     /// The HTTP library cannot read it.
     Unreadable,
+    /// A line of it does not end as lines of HTTP do.
+    LineEnd,
+    /// It was there before its request went out.
+    Unasked,
     /// Its status is none that ends an exchange of HTTP.
     Status,
     /// It states a length that is no number, or several lengths.
@@ -26,8 +30,10 @@
 
 impl HeadFault {
     /// Each fault, in the order of its declaration.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 8] = [
         Self::Unreadable,
+        Self::LineEnd,
+        Self::Unasked,
         Self::Status,
         Self::Length,
         Self::Coding,
@@ -39,6 +45,8 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Unreadable => "unreadable",
+            Self::LineEnd => "line-end",
+            Self::Unasked => "unasked",
             Self::Status => "status",
             Self::Length => "length",
             Self::Coding => "coding",
--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -5,7 +5,9 @@
 //! says in one way where the body ends.
 //!
 //! - [`head`]: what the fields of a head say;
+//! - [`lines`]: how the lines of a head end, which can be seen in its bytes alone;
 //! - [`stream`]: a connection on which each answer's bytes are watched.
 
 pub mod head;
+pub mod lines;
 pub mod stream;
--- a/crates/framing/src/stream.rs
+++ b/crates/framing/src/stream.rs
@@ -2,14 +2,14 @@
 //!
 //! The library reads on for as long as bytes come that are part of no answer: heads that only precede another head,
 //! digits of a chunk's size, blanks. The stream fails once more have come than an answer of use has between two of its
-//! pieces, a head or a part of a body.
+//! pieces, a head or a part of a body. It also fails at a head whose lines do not end as they should.
 
 use std::{
     fmt, io,
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     task::{Context, Poll, ready},
 };
@@ -20,7 +20,10 @@
     net::TcpStream,
 };
 
-use crate::head::{BodyEnd, HeadFault, body_end};
+use crate::{
+    head::{BodyEnd, HeadFault, body_end},
+    lines::HeadLines,
+};
 
 /// How many bytes may come after a piece of an answer before the next piece, a head or a part of a body, is taken.
 /// The HTTP library reads ahead, so what it buffers is among them.
@@ -50,12 +53,17 @@
 pub struct AnswerWatch {
     read: AtomicU64,
     piece_began: AtomicU64,
+    /// How many answers were asked for.
+    asked: AtomicU32,
+    /// How many were asked for when the last one's head had come, whole.
+    whole_head_of: AtomicU32,
 }
 
 impl AnswerWatch {
     /// Notes that a request goes out. What comes from now on is its answer.
     pub fn begin_answer(&self) {
         self.begin_piece();
+        self.asked.fetch_add(1, Ordering::Release);
     }
 
     /// Notes that a piece of an answer was taken.
@@ -74,6 +82,11 @@
     ///
     /// Fails where the answer must not be used, whatever it says.
     pub fn judge<B>(&self, asked: &Method, answer: &Response<B>) -> Result<BodyEnd, HeadFault> {
+        let number = self.asked.load(Ordering::Acquire);
+        if self.whole_head_of.load(Ordering::Acquire) != number {
+            // The library found it among what was left of an earlier answer.
+            return Err(HeadFault::Unasked);
+        }
         body_end(asked, answer)
     }
 
@@ -86,18 +99,37 @@
 pub struct AnswerStream {
     stream: TcpStream,
     watch: Arc<AnswerWatch>,
+    /// Which answer, of those asked for, the lines are of.
+    answer: u32,
+    lines: HeadLines,
 }
 
 impl AnswerStream {
     /// Watches a connection on which nothing was asked yet.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, watch: Arc::default() }
+        Self { stream, watch: Arc::default(), answer: 0, lines: HeadLines::default() }
     }
 
     /// Returns what is seen.
     pub fn watch(&self) -> Arc<AnswerWatch> {
         self.watch.clone()
     }
+
+    fn read_lines(&mut self, bytes: &[u8]) -> Result<(), HeadFault> {
+        let asked = self.watch.asked.load(Ordering::Acquire);
+        if asked != self.answer {
+            (self.answer, self.lines) = (asked, HeadLines::default());
+        }
+        // Bytes that nobody asked for end the connection by themselves.
+        if asked == 0 || self.lines.has_ended() {
+            return Ok(());
+        }
+        self.lines.read(bytes)?;
+        if self.lines.has_ended() {
+            self.watch.whole_head_of.store(asked, Ordering::Release);
+        }
+        Ok(())
+    }
 }
 
 impl AsyncRead for AnswerStream {
@@ -113,7 +145,7 @@
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let bytes = &buffer.filled()[before..];
         self.watch.read.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.read_lines(bytes).map_err(io::Error::other))
     }
 }
 
