framing: an interim head that states a body makes no answer

What callers saw: the answer after a 100 or 103 whose head stated a length or chunks. Who sends that may go on with the body, and what looks like the answer may be part of it.

Cause: the HTTP library drops interim heads unseen. It tells of them where a request asks for that.

Change: each request does. An interim head with a coding, or a length that is not 0 (some upstreams send one of 0, which says what is the case), has the answer refused.

--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -159,6 +159,18 @@
     expect_no_answers(answers, AnswerEnd::Close).await;
 }
 
+// An interim head that states a body is followed by that body, which may look like the answer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_interim_head_with_a_body_is_no_answer() {
+    let lines =
+        ["content-length: 10\r\n", "transfer-encoding: chunked\r\n", "content-length: z\r\n"];
+    let rest = "content-length: 10\r\n\r\nwhole-body";
+    let answers =
+        lines.map(|lines| format!("HTTP/1.1 103 Early Hints\r\n{lines}\r\n{START}{rest}"));
+    expect_no_answers(answers, AnswerEnd::Close).await;
+}
+
 // A refusal with a broken head is believed in that the call was not run, and its caller sends it again.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/framing/src/stream.rs
+++ b/crates/framing/src/stream.rs
@@ -14,14 +14,14 @@
     task::{Context, Poll, ready},
 };
 
-use http::{Method, Response};
+use http::{HeaderMap, Method, Request, Response};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
 use crate::{
-    head::{BodyEnd, HeadFault, body_end},
+    head::{BodyEnd, HeadFault, body_end, check_bodiless},
     lines::HeadLines,
 };
 
@@ -57,13 +57,17 @@
     asked: AtomicU32,
     /// How many were asked for when the last one's head had come, whole.
     whole_head_of: AtomicU32,
+    /// The same for the last one with a broken interim head.
+    broken_interim_of: AtomicU32,
 }
 
 impl AnswerWatch {
     /// Notes that a request goes out. What comes from now on is its answer.
-    pub fn begin_answer(&self) {
+    pub fn begin_answer<B>(self: &Arc<Self>, request: &mut Request<B>) {
         self.begin_piece();
         self.asked.fetch_add(1, Ordering::Release);
+        let watch = self.clone();
+        hyper::ext::on_informational(request, move |interim| watch.note_interim(interim.headers()));
     }
 
     /// Notes that a piece of an answer was taken.
@@ -76,6 +80,12 @@
         self.pending() > 0
     }
 
+    fn note_interim(&self, headers: &HeaderMap) {
+        if check_bodiless(headers).is_err() {
+            self.broken_interim_of.store(self.asked.load(Ordering::Acquire), Ordering::Release);
+        }
+    }
+
     /// Decides whether the answer that the HTTP library has read is sound, and returns where its body ends.
     ///
     /// # Errors
@@ -87,6 +97,9 @@
             // The library found it among what was left of an earlier answer.
             return Err(HeadFault::Unasked);
         }
+        if self.broken_interim_of.load(Ordering::Acquire) == number {
+            return Err(HeadFault::BodyNotAllowed);
+        }
         body_end(asked, answer)
     }
 
