caller: `Connection` takes no field away that is not the connection's

What callers saw: 200 without the upstream's signature, where the answer had `Connection: Server-Stamp` (any such name). On the request's way a caller's `Connection: idempotency-key` had its payment refused as without a key, and upstreams missed the host, the type of the body, the name of the request. Through a carrier it was the other way round: what `Connection` rightly named went on to callers.

Cause: whatever `Connection` named was removed. HTTP lets nobody name a field there that is meant for all recipients (RFC 9110, 7.6.1), and says nothing of who does it all the same.

Weighed for answers: refuse the head, or pass over the name. Passed over: the head is sound in where its body ends, and the caller gets the whole answer with its proof; refused, a call that must not run twice would be lost for it.

--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -451,6 +451,27 @@
     }
 }
 
+// `Connection` names a field that is not the connection's, and the proof of an answer is lost on the way.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_line_takes_no_field_away_that_is_not_the_connections() {
+    let lines = "connection: x-signed, x-id, X-Not-Run, content-type, content-length, set-cookie, x-mine\r\n\
+                 content-type: text/plain\r\nset-cookie: a=b\r\nx-mine: 1\r\n";
+    let bytes = format!("{START}{lines}content-length: 10\r\n\r\nwhole-body");
+    for (way, spoken) in WAYS.into_iter().flat_map(|way| SPOKEN.map(|spoken| (way, spoken))) {
+        for route in ROUTES {
+            let mut case = ScriptedCase::open(bytes.as_bytes(), AnswerEnd::Stay, way).await;
+            let answer = case.ask(spoken, route).await.unwrap();
+            let what = format!("{way:?} {spoken:?} {route:?}");
+            expect_that!((answer.status.as_u16(), &answer.body[..]), eq((200, &b"whole-body"[..])));
+            let kept = ["x-signed", "x-id", "content-type", "set-cookie"];
+            let kept = kept.map(|name| answer.header(name).to_owned());
+            expect_that!(kept, eq(&["1", "one", "text/plain", "a=b"].map(str::to_owned)), "{what}");
+            expect_that!(answer.header("x-mine"), eq(""), "{what}");
+        }
+    }
+}
+
 // A broken answer of an idempotent call ends it, though another upstream has a sound one.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
