caller tests: heads that break off

Held on, as was a body without a length that is reset: tests only.

A head is cut after each byte, as an answer and as a refusal, with a length, chunks or neither, closed and reset, after an interim head, on new, reused and carried connections, for callers of HTTP/1.1 and HTTP/2. Each call ends as 502 or 504, "unknown", and runs once.

--- /dev/null
+++ b/crates/caller/tests/cut_heads.rs
@@ -0,0 +1,98 @@
+//! A head that breaks off is no answer, wherever it does.
+
+mod support;
+
+use futures::future::join_all;
+use googletest::prelude::*;
+use model::call::OutcomeClass;
+use support::{
+    scripted::AnswerEnd,
+    scripted_call::{SPOKEN, ScriptedCase, Spoken, WAYS, is_unknown},
+};
+
+/// The lines before those that say how the body is framed.
+const STARTS: [&str; 2] = [
+    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\n",
+    "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-signed: 1\r\nx-not-run: 1\r\n",
+];
+
+const FRAMINGS: [&str; 3] =
+    ["content-length: 10\r\n\r\n", "transfer-encoding: chunked\r\n\r\n", "\r\n"];
+
+/// Outcomes that are charged to an upstream, or, where nobody can tell, to nobody.
+fn is_failure(outcome: OutcomeClass) -> bool {
+    matches!(
+        outcome,
+        OutcomeClass::ErrorAnswer
+            | OutcomeClass::Crash
+            | OutcomeClass::CutAnswer
+            | OutcomeClass::StaleConnection
+    )
+}
+
+async fn expect_no_answer(case: &mut ScriptedCase, cut: &[u8], spoken: Spoken, what: &str) {
+    case.answer_next(cut).await;
+    // Each call has a path of its own, since one that crashes what runs it is refused before long.
+    let path = format!("/once/{}", cut.len());
+    let answer = case.ask(spoken, ("POST", &path)).await.unwrap();
+    expect_true!(is_unknown(&answer), "{what}: {answer:?}");
+    case.expect_settled(what).await;
+    let last = case.vm.slots.outcomes().pop().unwrap();
+    expect_true!(is_failure(last), "{what}: {last:?}");
+    expect_that!(case.requests(), eq(1), "{what}: it runs once");
+}
+
+/// Cuts a head after each of its bytes, but for the last.
+async fn expect_no_answers(before: &str, start: &str, end: AnswerEnd) {
+    let heads = FRAMINGS.map(|framing| format!("{before}{start}{framing}"));
+    let ways = WAYS.into_iter().flat_map(|way| heads.iter().map(move |head| (way, head)));
+    join_all(ways.map(|(way, head)| async move {
+        let mut case = ScriptedCase::open(b"", end, way).await;
+        for cut in 0..head.len() {
+            let (bytes, spoken) = (&head.as_bytes()[..cut], SPOKEN[cut % 2]);
+            let what = format!("{:?} {end:?} {way:?} {spoken:?}", &head[..cut]);
+            expect_no_answer(&mut case, bytes, spoken, &what).await;
+        }
+    }))
+    .await;
+}
+
+// An answer whose head breaks off reaches its caller with an empty or a short body, as whole.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_is_closed_in_the_middle_is_no_answer() {
+    for start in STARTS {
+        expect_no_answers("", start, AnswerEnd::Close).await;
+    }
+}
+
+// The same where its connection is reset.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_is_reset_in_the_middle_is_no_answer() {
+    for start in STARTS {
+        expect_no_answers("", start, AnswerEnd::Reset).await;
+    }
+}
+
+// The same after an interim head, which is no answer either.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_breaks_off_after_an_interim_one_is_no_answer() {
+    expect_no_answers("HTTP/1.1 100 Continue\r\n\r\n", STARTS[0], AnswerEnd::Close).await;
+}
+
+// An answer without a length that is reset, and not closed, reaches its caller as whole.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_without_a_length_that_is_reset_is_not_whole() {
+    let bytes = format!("{}\r\nhalf", STARTS[0]);
+    for (way, spoken) in WAYS.into_iter().flat_map(|way| SPOKEN.map(|spoken| (way, spoken))) {
+        let mut case = ScriptedCase::open(bytes.as_bytes(), AnswerEnd::Reset, way).await;
+        let answer = case.ask(spoken, ("POST", "/once")).await;
+        let what = format!("{way:?} {spoken:?}: {answer:?}");
+        expect_true!(answer.is_none_or(|answer| is_unknown(&answer)), "{what}");
+        case.expect_settled(&what).await;
+        expect_that!(case.vm.slots.outcomes().last(), some(eq(&OutcomeClass::CutAnswer)), "{what}");
+    }
+}
