ctl: an answer with a broken head is not the fleet's word

What operators saw: the command line took an answer with a spoilt coding, a length beside chunks or a line feed gone astray for what the VM had said, and did not ask the next VM.

Cause: the class of the fault of broken heads, where the command line reads answers.

Change: its connections are watched as those to upstreams are. A VM whose answer has a broken head is passed over, and named with the reason. What the error of a connection says of a head is read in one place for both.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -8,15 +8,19 @@
 
 use crate::{
     fault::{
-        AnswerSnafu, AttemptFault, BrokenSnafu, ConnectSnafu, CtlError, NoMajoritySnafu,
-        RefusedSnafu, SilentSnafu, StaleSnafu, UnreachedSnafu,
+        AnswerSnafu, AttemptFault, BrokenHeadSnafu, BrokenSnafu, ConnectSnafu, CtlError,
+        NoMajoritySnafu, RefusedSnafu, SilentSnafu, StaleSnafu, UnreachedSnafu,
     },
     settings::CtlSettings,
 };
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use framing::{
+    head::HeadFault,
+    stream::{AnswerStream, AnswerWatch},
+};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1;
+use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use model::patch::PatchRefusal;
 use operator::answers::{ErrorAnswer, ErrorCode, ErrorDetail};
@@ -109,24 +113,47 @@
         path: &str,
         body: Bytes,
     ) -> Result<(StatusCode, Bytes), AttemptFault> {
+        let stream = AnswerStream::new(stream);
+        let watch = stream.watch();
         let (mut sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu { address })?;
         tokio::spawn(connection);
         let mut bearer = b"Bearer ".to_vec();
         bearer.extend_from_slice(self.settings.secret.as_bytes());
-        let request = Request::builder()
-            .method(method)
+        let mut request = Request::builder()
+            .method(method.clone())
             .uri(path)
             .header(header::HOST, address.to_string())
             .header(header::AUTHORIZATION, bearer)
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .expect("the parts are valid");
-        let response = sender.send_request(request).await.context(BrokenSnafu { address })?;
+        watch.begin_answer(&mut request);
+        let sent = sender.send_request(request).await;
+        let response = sent.map_err(|error| broken(address, error))?;
+        watch.judge(&method, &response).context(BrokenHeadSnafu { address })?;
         let status = response.status();
-        let body = response.into_body().collect().await.context(BrokenSnafu { address })?;
-        Ok((status, body.to_bytes()))
+        let body = read_body(response.into_body(), &watch).await;
+        Ok((status, body.context(BrokenSnafu { address })?))
+    }
+}
+
+fn broken(address: SocketAddr, error: hyper::Error) -> AttemptFault {
+    match HeadFault::cause_of(&error) {
+        Some(source) => AttemptFault::BrokenHead { address, source },
+        None => AttemptFault::Broken { address, source: error },
+    }
+}
+
+async fn read_body(mut body: Incoming, watch: &AnswerWatch) -> hyper::Result<Bytes> {
+    let mut read = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            watch.begin_piece();
+            read.extend_from_slice(&data);
+        }
     }
+    Ok(read.freeze())
 }
 
 /// Another VM may have a better path to the control VMs than the one that was asked.
--- a/crates/framing/src/stream.rs
+++ b/crates/framing/src/stream.rs
@@ -5,6 +5,7 @@
 //! pieces, a head or a part of a body. It also fails at a head whose lines do not end as they should.
 
 use std::{
+    error::Error as _,
     fmt, io,
     pin::Pin,
     sync::{
@@ -42,12 +43,32 @@
 impl std::error::Error for NoAnswerInBytes {}
 
 impl NoAnswerInBytes {
-    /// Tells whether an error of the HTTP library comes from this.
-    pub fn caused(error: &io::Error) -> bool {
-        error.get_ref().is_some_and(|inner| inner.is::<Self>())
+    /// Tells whether a connection ended because of this.
+    pub fn caused(error: &hyper::Error) -> bool {
+        io_cause(error).and_then(io::Error::get_ref).is_some_and(|inner| inner.is::<Self>())
     }
 }
 
+impl HeadFault {
+    /// Returns what was wrong with the head that ended a connection, where that is what did.
+    pub fn cause_of(error: &hyper::Error) -> Option<Self> {
+        let seen = io_cause(error).and_then(|cause| cause.get_ref()?.downcast_ref().copied());
+        seen.or_else(|| error.is_parse().then_some(Self::Unreadable))
+    }
+}
+
+/// Returns what the stream below an HTTP connection said, where that ended it.
+pub fn io_cause(error: &hyper::Error) -> Option<&io::Error> {
+    let mut cause = error.source();
+    while let Some(inner) = cause {
+        if let Some(system) = inner.downcast_ref::<io::Error>() {
+            return Some(system);
+        }
+        cause = inner.source();
+    }
+    None
+}
+
 /// What was seen of the bytes that come on a connection.
 #[derive(Debug, Default)]
 pub struct AnswerWatch {
