framing, upstream: a trailer says nothing that belongs to a head

What callers saw, in a test: an answer in chunks whose trailer had `Connection`, `Content-Length` and the like was whole on HTTP/1.1 and failed on HTTP/2, where such a trailer is an error. An upstream's `coltsfootcrank-outcome: not-run` went on in it.

Cause: the class of broken heads at the other end of the answer: what an upstream wrote about its framing was passed on as it was.

--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -540,3 +540,24 @@
         expect_that!(answer.header("content-length"), not(eq("0")), "{spoken:?} {path}");
     }
 }
+
+// Fields of a trailer that belong to a head reach callers behind the body: a length, the connection's own, the fleet's word.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_trailer_says_nothing_that_belongs_to_a_head() {
+    let fields = "content-length: 4\r\ntransfer-encoding: chunked\r\nconnection: close\r\nkeep-alive: timeout=5\r\n\
+                  upgrade: x\r\ntrailer: x-sum\r\nhost: b\r\ncoltsfootcrank-outcome: not-run\r\nx-sum: 1\r\n";
+    let head = "trailer: x-sum, content-length, connection, coltsfootcrank-outcome\r\ntransfer-encoding: chunked\r\n";
+    let bytes = format!("{START}{head}\r\n5\r\nwhole\r\n5\r\n-body\r\n0\r\n{fields}\r\n");
+    for way in WAYS {
+        let mut case = ScriptedCase::open(bytes.as_bytes(), AnswerEnd::Stay, way).await;
+        let by_http1 = case.ask(Spoken::Http1, ("POST", "/once")).await.unwrap();
+        expect_that!(by_http1.body, eq(&b"whole-body"[..]), "{way:?}");
+        case.answer_next(bytes.as_bytes()).await;
+        let (body, trailers) = case.ask_for_trailers("/once").await.expect("a whole answer");
+        expect_that!(body, eq(&b"whole-body"[..]), "{way:?}");
+        let names: Vec<_> = trailers.keys().map(|name| name.as_str().to_owned()).collect();
+        let passed = names.iter().any(|name| name != "x-sum");
+        expect_false!(passed, "{way:?}: {names:?}");
+    }
+}
--- a/crates/caller/tests/support/scripted_call.rs
+++ b/crates/caller/tests/support/scripted_call.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http2;
 use hyper_util::rt::{TokioExecutor, TokioIo};
@@ -142,6 +142,17 @@
         Some(WholeAnswer { status: parts.status, headers: parts.headers, body })
     }
 
+    /// Sends a call by HTTP/2 that takes trailers, and returns its body with them. `None`: there was no whole answer.
+    pub async fn ask_for_trailers(&mut self, path: &str) -> Option<(Bytes, HeaderMap)> {
+        let mut sender = open_http2(self.vm.address()).await;
+        let names = [("x-id", "one"), ("te", "trailers")];
+        let request = request("POST", &format!("http://a{path}"), &names, b"");
+        let answer = sender.send_request(request).await.ok()?;
+        let collected = answer.into_body().collect().await.ok()?;
+        let trailers = collected.trailers().cloned().unwrap_or_default();
+        Some((collected.to_bytes(), trailers))
+    }
+
     /// How many requests the upstream got since it was to answer so.
     pub fn requests(&self) -> usize {
         self.upstream.requests() - self.before
--- a/crates/framing/src/head.rs
+++ b/crates/framing/src/head.rs
@@ -5,7 +5,7 @@
     sync::atomic::{AtomicU64, Ordering},
 };
 
-use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Version, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Response, StatusCode, Version, header};
 
 /// Why a head is not sound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -141,6 +141,34 @@
     Ok(())
 }
 
+/// Fields that say how a message is framed, where it goes or how it is to be read, which a trailer must not do
+/// (RFC 9110, section 6.5.1).
+const HEAD_ONLY: [HeaderName; 16] = [
+    header::AUTHORIZATION,
+    header::CACHE_CONTROL,
+    header::CONNECTION,
+    header::CONTENT_ENCODING,
+    header::CONTENT_LENGTH,
+    header::CONTENT_RANGE,
+    header::CONTENT_TYPE,
+    header::HOST,
+    HeaderName::from_static("keep-alive"),
+    header::MAX_FORWARDS,
+    HeaderName::from_static("proxy-connection"),
+    header::SET_COOKIE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Takes off a trailer what belongs to a head.
+pub fn strip_trailer(trailer: &mut HeaderMap) {
+    for name in HEAD_ONLY {
+        trailer.remove(name);
+    }
+}
+
 /// Tells whether HTTP has a final answer of this status (RFC 9110, section 15).
 fn ends_exchange(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
