--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 use http_body::Body as _;
 use model::{
-    call::{OUTCOME_HEADER, OutcomeClass, RATE_HEADER},
+    call::{DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER, OutcomeClass, RATE_HEADER},
     ledger::RecordedAnswer,
     slot::StatedTerms,
 };
@@ -16,8 +16,12 @@
     TestVm,
     carriers::FakeCarriers,
     copies::headers,
+    endless::{EndlessBytes, EndlessUpstream},
+    key,
     scripted::{AnswerEnd, ScriptedUpstream},
     scripted_call::{CallWay, ROUTES, SPOKEN, ScriptedCase, Spoken, WAYS, is_unknown},
+    wait_until,
+    wire::nobody,
 };
 
 /// What each of these answers begins with, before the lines that a test is about.
@@ -561,3 +565,66 @@
         expect_false!(passed, "{way:?}: {names:?}");
     }
 }
+
+// A probe takes a broken head for a sign of life, and an upstream that hangs is excused as a silent connection.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_probe_with_a_broken_head_proves_nothing() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkex\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\nx-a: b\r\n\r\n",
+        "HTTP/1.1 600 Odd\r\n\r\n",
+    ];
+    for start in heads {
+        let bytes = EndlessBytes { name: "a probe's answer", start, repeated: "a" };
+        let upstream = EndlessUpstream::spawn_silent(bytes).await;
+        let vm = TestVm::before(&[upstream.address()]).await;
+        expect_that!(vm.get("/read").await.status.as_u16(), eq(200));
+        let silent = request("GET", "/read", &[(DEADLINE_HEADER, "500")], b"");
+        let answer = call(vm.address(), silent).await.unwrap();
+        expect_true!(is_unknown(&answer), "{start:?}: {answer:?}");
+        wait_until("it is settled", || vm.slots.busy() == 0).await;
+        expect_that!(vm.slots.outcomes().pop(), some(eq(OutcomeClass::Timeout)), "{start:?}");
+    }
+}
+
+/// A VM that reaches no upstream, beside a carrier that answers each request with these bytes.
+async fn before_carrier(answer: &str) -> (TestVm, ScriptedUpstream) {
+    let carrier = ScriptedUpstream::spawn(0, answer.as_bytes(), AnswerEnd::Close).await;
+    let own = FakeCarriers::open("vm-0", "pettah").await;
+    own.know("vm-1", "pettah", carrier.address());
+    let vm = TestVm::speaking(headers(), own, &[nobody().await]).await;
+    (vm, carrier)
+}
+
+// A head that broke between two VMs is charged to the upstream, or a word of the carrier in it is believed.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_head_that_breaks_between_two_vms_says_nothing_of_the_upstream() {
+    let declined = "coltsfootcrank-carry-fault: \"declined\"\r\n";
+    let broken = [
+        format!("{START}transfer-encoding: chunkex\r\n\r\n{CHUNKS}"),
+        format!("{START}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n{CHUNKS}"),
+        format!("{START}x-a: b\ncontent-length: 10\r\n\r\nwhole-body"),
+        format!("{REFUSAL_START}transfer-encoding: chunkex\r\n\r\n{CHUNKS}"),
+        format!("HTTP/1.1 502 Bad\r\n{declined}transfer-encoding: chunkex\r\n\r\n"),
+        format!("HTTP/1.1 502 Bad\r\n{declined}content-length: 0\n\r\n"),
+    ];
+    for bytes in broken {
+        for (method, path) in ROUTES {
+            let (vm, carrier) = before_carrier(&bytes).await;
+            let key = key(1).to_string();
+            let names = [("x-id", "one"), (KEY_HEADER, &*key)];
+            let answer = call(vm.address(), request(method, path, &names, b"")).await.unwrap();
+            let what = format!("{bytes:?} {path}: {answer:?}");
+            expect_true!(is_unknown(&answer), "{what}");
+            wait_until("it is settled", || vm.slots.busy() == 0).await;
+            let outcomes = vm.slots.outcomes();
+            expect_that!(outcomes, each(eq(&OutcomeClass::StaleConnection)), "{what}");
+            if method == "POST" {
+                expect_that!(carrier.requests(), eq(1), "{what}: it is sent once");
+            }
+        }
+    }
+}
--- a/crates/framing/tests/heads.rs
+++ b/crates/framing/tests/heads.rs
@@ -1,11 +1,14 @@
 //! Which heads are sound, and where the bodies behind them end.
 
+use std::sync::Arc;
+
 use framing::{
     head::{BodyEnd, HeadFault, HeadFaultCounts, body_end, check_bodiless},
     lines::HeadLines,
+    stream::AnswerWatch,
 };
 use googletest::prelude::*;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Response, Version};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Version};
 use proptest::{collection::vec, prelude::*, sample::select};
 
 fn fields(lines: &[(&'static str, &'static [u8])]) -> HeaderMap {
@@ -133,6 +136,15 @@
     }
 }
 
+// What was left over of an earlier answer is taken for the answer to the next request.
+#[gtest]
+fn a_head_that_came_before_its_request_is_no_answer() {
+    let watch = Arc::new(AnswerWatch::default());
+    watch.begin_answer(&mut Request::new(()));
+    let judged = watch.judge(&Method::GET, &answer(200, &[]));
+    expect_that!(judged, err(eq(HeadFault::Unasked)));
+}
+
 fn lines_of(bytes: &[u8]) -> (std::result::Result<(), HeadFault>, bool) {
     let mut lines = HeadLines::default();
     let read = lines.read(bytes);
