upstream: a broken answer proves no connection

What callers saw: an upstream hung, and a call on its used connection was settled as a lost connection and not charged to it, since a new connection had "worked": with a broken head.

Cause: that a connection answered was noted before the head was judged. Found on reading the change.

--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -589,6 +589,26 @@
     }
 }
 
+// A broken answer on a new connection excuses an upstream that hangs, as if only its older connections had been lost.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_broken_answer_proves_no_connection() {
+    let start = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkex\r\n\r\n";
+    let bytes = EndlessBytes { name: "a broken answer", start, repeated: "a" };
+    let upstream = EndlessUpstream::spawn_silent(bytes).await;
+    let vm = TestVm::before(&[upstream.address()]).await;
+    expect_that!(vm.get("/read").await.status.as_u16(), eq(200));
+    let silent = request("GET", "/read", &[(DEADLINE_HEADER, "500")], b"");
+    let silent = tokio::spawn(call(vm.address(), silent));
+    wait_until("it is sent", || vm.pool.tally(upstream.address()).in_use == 1).await;
+    let broken = call(vm.address(), request("POST", "/once", &[], b"")).await.unwrap();
+    expect_true!(is_unknown(&broken), "{broken:?}");
+    expect_true!(is_unknown(&silent.await.unwrap().unwrap()));
+    wait_until("both are settled", || vm.slots.busy() == 0).await;
+    let outcomes = vm.slots.outcomes();
+    expect_that!(outcomes[1..], eq(&[OutcomeClass::ErrorAnswer, OutcomeClass::Timeout]));
+}
+
 /// A VM that reaches no upstream, beside a carrier that answers each request with these bytes.
 async fn before_carrier(answer: &str) -> (TestVm, ScriptedUpstream) {
     let carrier = ScriptedUpstream::spawn(0, answer.as_bytes(), AnswerEnd::Close).await;
