caller tests: bodies whose wrapping is broken

Held already, tests only: a chunk's size that is none, negative, too large or ends in a line feed, a chunk without its end, a missing last chunk, a trailer line that is none, a body shorter than its length.

--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -648,3 +648,37 @@
         }
     }
 }
+
+// The library refuses what these bodies are wrapped in. It must not come to pass one on as whole.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_whose_wrapping_is_broken_is_not_whole() {
+    let chunks = [
+        "zz\r\nwhole-body\r\n0\r\n\r\n",
+        "\r\nwhole-body\r\n0\r\n\r\n",
+        "-a\r\nwhole-body\r\n0\r\n\r\n",
+        "fffffffffffffffff\r\nwhole-body\r\n0\r\n\r\n",
+        "a\nwhole-body\r\n0\r\n\r\n",
+        "5\r\nwhole5\r\n-body\r\n0\r\n\r\n",
+        "5\r\nwhole\r\n5\r\n-body\r\n",
+        "5\r\nwhole\r\n5\r\n-body\r\n0\r\n",
+        "a\r\nwhole-body\r\n0\r\nno trailer\r\n\r\n",
+    ];
+    let lengths = ["content-length: 20\r\n\r\nwhole-body"].map(str::to_owned);
+    let tails = chunks.map(|chunks| format!("transfer-encoding: chunked\r\n\r\n{chunks}"));
+    let answers = tails.into_iter().chain(lengths).map(|tail| format!("{START}{tail}"));
+    let answers: Vec<_> = answers.collect();
+    for way in WAYS {
+        let mut case = ScriptedCase::open(b"", AnswerEnd::Close, way).await;
+        for (bytes, spoken) in answers.iter().flat_map(|bytes| SPOKEN.map(|one| (bytes, one))) {
+            let what = format!("{bytes:?} {way:?} {spoken:?}");
+            case.answer_next(bytes.as_bytes()).await;
+            let answer = case.ask(spoken, ("POST", "/once")).await;
+            expect_true!(answer.as_ref().is_none_or(is_unknown), "{what}: {answer:?}");
+            case.expect_settled(&what).await;
+            let last = case.vm.slots.outcomes().pop();
+            expect_that!(last, some(eq(OutcomeClass::CutAnswer)), "{what}");
+            expect_that!(case.requests(), eq(1), "{what}: it runs once");
+        }
+    }
+}
