upstream: a carried answer says itself where its body ends

What callers saw: nothing yet from VMs of this version.

Cause: between two VMs the end of the connection counted as the end of a body, as it does from an upstream. A carrier of ours always states a length or sends chunks, so there it only means that something was lost.

Change: such a head is refused with the reason no-end, as a lost connection between the VMs: 502, unknown, not charged to the upstream. Price: beside carriers of earlier versions, carried answers of HTTP/1.0 upstreams that state no length fail until those are replaced.

Evidence: two heads without a length (HTTP/1.1 and 1.0) in a_head_that_breaks_between_two_vms_says_nothing_of_the_upstream, red before (200, Success), green after.

--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -627,6 +627,8 @@
         format!("{START}transfer-encoding: chunkex\r\n\r\n{CHUNKS}"),
         format!("{START}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n{CHUNKS}"),
         format!("{START}x-a: b\ncontent-length: 10\r\n\r\nwhole-body"),
+        format!("{START}\r\nwhole-body"),
+        format!("{START}\r\nwhole-body").replace("HTTP/1.1", "HTTP/1.0"),
         format!("{REFUSAL_START}transfer-encoding: chunkex\r\n\r\n{CHUNKS}"),
         format!("HTTP/1.1 502 Bad\r\n{declined}transfer-encoding: chunkex\r\n\r\n"),
         format!("HTTP/1.1 502 Bad\r\n{declined}content-length: 0\n\r\n"),
--- a/crates/framing/src/head.rs
+++ b/crates/framing/src/head.rs
@@ -26,11 +26,13 @@
     LengthBesideCoding,
     /// It states a body where its status allows none.
     BodyNotAllowed,
+    /// It states no end of its body other than that of the connection, from a VM, which always states one.
+    NoEnd,
 }
 
 impl HeadFault {
     /// Each fault, in the order of its declaration.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Unreadable,
         Self::LineEnd,
         Self::Unasked,
@@ -39,6 +41,7 @@
         Self::Coding,
         Self::LengthBesideCoding,
         Self::BodyNotAllowed,
+        Self::NoEnd,
     ];
 
     /// Returns its name in log lines and metrics.
@@ -52,6 +55,7 @@
             Self::Coding => "coding",
             Self::LengthBesideCoding => "length-beside-coding",
             Self::BodyNotAllowed => "body-not-allowed",
+            Self::NoEnd => "no-end",
         }
     }
 }
