caller: an answer that breaks off is reset for callers of HTTP/1.0

Such an answer has no length where its upstream stated none, HTTP/1.0 has no chunks, so it ends with the connection, and that was closed in order.

Cause: the framing is ours, and where it is the end of the connection, an end that is none has to look otherwise. The HTTP library drops the connection after the error of a body, which the system closes like any other; so it does when the process dies.

Change: before the first byte of an answer that ends with the connection alone, the system is told to reset the connection when it is closed (linger of zero); the end of the answer takes that back before it is closed. So a killed process resets it as well (not tested).

Evidence: a_large_answer_that_breaks_off_does_not_look_whole_on_http_1_0, red before on all four ways, for chunks that break off and for a body without a length that is reset (3,000,105 bytes, closed in order); green after. a_large_answer_ends_in_order_on_http_1_0 holds the other side; it is green without the change too.

--- a/crates/caller/src/stall.rs
+++ b/crates/caller/src/stall.rs
@@ -18,17 +18,41 @@
     time::{Instant, Sleep, sleep},
 };
 
+use crate::answer_end::{AnswerEnd, close_in_order, reset_when_closed};
+
 /// A caller's connection that fails when its caller takes nothing.
 pub(crate) struct StallGuard {
     stream: TcpStream,
+    answer_end: AnswerEnd,
+    /// Whether the system resets the connection when it is closed.
+    resets: bool,
     write_idle: Duration,
     write_timer: Pin<Box<Sleep>>,
     stalled: bool,
 }
 
 impl StallGuard {
-    pub(crate) fn new(stream: TcpStream, write_idle: Duration) -> Self {
-        Self { stream, write_idle, write_timer: Box::pin(sleep(write_idle)), stalled: false }
+    pub(crate) fn new(stream: TcpStream, answer_end: AnswerEnd, write_idle: Duration) -> Self {
+        let write_timer = Box::pin(sleep(write_idle));
+        Self { stream, answer_end, resets: false, write_idle, write_timer, stalled: false }
+    }
+
+    /// Looks before each write whether its answer ends with the connection alone.
+    fn begin_write(&mut self) -> io::Result<()> {
+        if !self.resets && self.answer_end.is_with_connection() {
+            reset_when_closed(&self.stream)?;
+            self.resets = true;
+        }
+        Ok(())
+    }
+
+    /// Ends an answer in order.
+    fn begin_shutdown(&mut self) -> io::Result<()> {
+        if self.resets {
+            close_in_order(&self.stream)?;
+            self.resets = false;
+        }
+        Ok(())
     }
 
     /// Watches the outcome of a write.
@@ -66,6 +90,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.begin_write()?;
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.watch(context, written)
     }
@@ -75,6 +100,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.begin_write()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
         self.watch(context, written)
     }
@@ -88,6 +114,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.begin_shutdown()?;
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/crates/caller/tests/cut_heads.rs
+++ b/crates/caller/tests/cut_heads.rs
@@ -6,9 +6,15 @@
 use googletest::prelude::*;
 use model::call::OutcomeClass;
 use support::{
+    PATIENCE,
     scripted::AnswerEnd,
     scripted_call::{SPOKEN, ScriptedCase, Spoken, WAYS, is_unknown},
 };
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
 
 /// The lines before those that say how the body is framed.
 const STARTS: [&str; 2] = [
@@ -102,3 +108,49 @@
         }
     }
 }
+
+/// Calls by HTTP/1.0 and reads to the end of the connection. Fails when that is reset.
+async fn read_by_http_1_0(case: &ScriptedCase) -> std::io::Result<Vec<u8>> {
+    let mut caller = TcpStream::connect(case.vm.address()).await?;
+    caller.write_all(b"POST /once HTTP/1.0\r\nhost: a\r\nx-id: one\r\n\r\n").await?;
+    let mut read = Vec::new();
+    timeout(PATIENCE, caller.read_to_end(&mut read)).await??;
+    Ok(read)
+}
+
+// An answer whose length nobody knows breaks off for a caller of HTTP/1.0, to whom a closed connection is the body's end.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_answer_that_breaks_off_does_not_look_whole_on_http_1_0() {
+    let part = "large ".repeat(500_000);
+    let cut = format!("transfer-encoding: chunked\r\n\r\n{:x}\r\n{part}", part.len() + 1);
+    let reset = format!("\r\n{part}");
+    for (tail, end) in [(&cut, AnswerEnd::Close), (&reset, AnswerEnd::Reset)] {
+        let bytes = format!("{}{tail}", STARTS[0]);
+        for way in WAYS {
+            let case = ScriptedCase::open(bytes.as_bytes(), end, way).await;
+            let read = read_by_http_1_0(&case).await;
+            let whole = read.as_ref().is_ok_and(|read| !read.starts_with(b"HTTP/1.0 502"));
+            expect_false!(whole, "{end:?} {way:?}: {:?} bytes", read.map(|read| read.len()));
+        }
+    }
+}
+
+// An answer that is whole is reset all the same, and a caller of HTTP/1.0 gives it up.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_answer_ends_in_order_on_http_1_0() {
+    let part = "large ".repeat(500_000);
+    let chunked =
+        format!("transfer-encoding: chunked\r\n\r\n{:x}\r\n{part}\r\n0\r\n\r\n", part.len());
+    let closed = format!("\r\n{part}");
+    for tail in [&chunked, &closed] {
+        let bytes = format!("{}{tail}", STARTS[0]);
+        for way in WAYS {
+            let case = ScriptedCase::open(bytes.as_bytes(), AnswerEnd::Close, way).await;
+            let read = read_by_http_1_0(&case).await;
+            let whole = read.as_ref().is_ok_and(|read| read.ends_with(part.as_bytes()));
+            expect_true!(whole, "{way:?}: {:?} bytes", read.map(|read| read.len()));
+        }
+    }
+}
