upstream: an answer that names two requests is none

What callers saw: an answer whose head names the request and then another one, as when the end of a head is lost and the next head is read into it, went to the caller as the request's own; so did "not run" of such a refusal (MIXED).

Cause: of several identifiers in a head the first one was compared.

--- a/crates/caller/tests/broken_heads.rs
+++ b/crates/caller/tests/broken_heads.rs
@@ -208,6 +208,18 @@
     }
 }
 
+// A head glued together of two names two requests, and a caller gets the answer to another's.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_that_names_two_requests_is_no_answer() {
+    let rest = "x-signed: 1\r\ncontent-length: 10\r\n\r\nwhole-body";
+    let names = ["x-id: {id}\r\nx-id: two\r\n", "x-id: two\r\nx-id: {id}\r\n"];
+    let starts = ["HTTP/1.1 200 OK\r\n", "HTTP/1.1 503 Full\r\nx-not-run: 1\r\n"];
+    let answers =
+        starts.into_iter().flat_map(|start| names.map(|names| format!("{start}{names}{rest}")));
+    expect_no_answers(answers, AnswerEnd::Stay).await;
+}
+
 // HTTP has no final answer of such a status, and callers cannot know what it means.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
