caller: how a connection is closed is decided in one place

The switch between reset and close stood in the guard against callers that take nothing, which has another job. It is a type of its own now; behaviour is unchanged.

--- a/crates/caller/src/answer_end.rs
+++ b/crates/caller/src/answer_end.rs
@@ -25,24 +25,41 @@
 }
 
 impl AnswerEnd {
-    /// Notes how an answer that is about to be written will end.
-    pub(crate) fn note<B: Body>(&self, spoken: Version, answer: &Response<B>) {
-        if spoken == Version::HTTP_10 && answer.body().size_hint().exact().is_none() {
+    /// Notes how an answer to a request of this version will end, before it is written.
+    pub(crate) fn note<B: Body>(&self, version: Version, answer: &Response<B>) {
+        if version == Version::HTTP_10 && answer.body().size_hint().exact().is_none() {
             self.with_connection.store(true, Ordering::Relaxed);
         }
     }
-
-    pub(crate) fn is_with_connection(&self) -> bool {
-        self.with_connection.load(Ordering::Relaxed)
-    }
 }
 
-/// Has the system reset a connection when it is closed.
-pub(crate) fn reset_when_closed(stream: &TcpStream) -> io::Result<()> {
-    stream.set_zero_linger()
+/// Decides for one connection whether the system resets it when it is closed.
+#[derive(Debug)]
+pub(crate) struct CloseMode {
+    answer_end: AnswerEnd,
+    resets: bool,
 }
 
-/// Has the system close a connection in order again.
-pub(crate) fn close_in_order(stream: &TcpStream) -> io::Result<()> {
-    SockRef::from(stream).set_linger(None)
+impl CloseMode {
+    pub(crate) fn new(answer_end: AnswerEnd) -> Self {
+        Self { answer_end, resets: false }
+    }
+
+    /// Has the connection reset from now on, where a part of its answer could pass for the whole.
+    pub(crate) fn begin_write(&mut self, stream: &TcpStream) -> io::Result<()> {
+        if !self.resets && self.answer_end.with_connection.load(Ordering::Relaxed) {
+            stream.set_zero_linger()?;
+            self.resets = true;
+        }
+        Ok(())
+    }
+
+    /// Has the connection closed in order, since its answer has ended.
+    pub(crate) fn begin_shutdown(&mut self, stream: &TcpStream) -> io::Result<()> {
+        if self.resets {
+            SockRef::from(stream).set_linger(None)?;
+            self.resets = false;
+        }
+        Ok(())
+    }
 }
--- a/crates/caller/src/stall.rs
+++ b/crates/caller/src/stall.rs
@@ -18,41 +18,21 @@
     time::{Instant, Sleep, sleep},
 };
 
-use crate::answer_end::{AnswerEnd, close_in_order, reset_when_closed};
+use crate::answer_end::CloseMode;
 
 /// A caller's connection that fails when its caller takes nothing.
 pub(crate) struct StallGuard {
     stream: TcpStream,
-    answer_end: AnswerEnd,
-    /// Whether the system resets the connection when it is closed.
-    resets: bool,
+    close_mode: CloseMode,
     write_idle: Duration,
     write_timer: Pin<Box<Sleep>>,
     stalled: bool,
 }
 
 impl StallGuard {
-    pub(crate) fn new(stream: TcpStream, answer_end: AnswerEnd, write_idle: Duration) -> Self {
+    pub(crate) fn new(stream: TcpStream, close_mode: CloseMode, write_idle: Duration) -> Self {
         let write_timer = Box::pin(sleep(write_idle));
-        Self { stream, answer_end, resets: false, write_idle, write_timer, stalled: false }
-    }
-
-    /// Looks before each write whether its answer ends with the connection alone.
-    fn begin_write(&mut self) -> io::Result<()> {
-        if !self.resets && self.answer_end.is_with_connection() {
-            reset_when_closed(&self.stream)?;
-            self.resets = true;
-        }
-        Ok(())
-    }
-
-    /// Ends an answer in order.
-    fn begin_shutdown(&mut self) -> io::Result<()> {
-        if self.resets {
-            close_in_order(&self.stream)?;
-            self.resets = false;
-        }
-        Ok(())
+        Self { stream, close_mode, write_idle, write_timer, stalled: false }
     }
 
     /// Watches the outcome of a write.
@@ -90,7 +70,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.begin_write()?;
+        let Self { stream, close_mode, .. } = &mut *self;
+        close_mode.begin_write(stream)?;
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.watch(context, written)
     }
@@ -100,7 +81,8 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.begin_write()?;
+        let Self { stream, close_mode, .. } = &mut *self;
+        close_mode.begin_write(stream)?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
         self.watch(context, written)
     }
@@ -114,7 +96,8 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.begin_shutdown()?;
+        let Self { stream, close_mode, .. } = &mut *self;
+        close_mode.begin_shutdown(stream)?;
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
